--- /dev/null
+++ b/cmake/Dependencies.cmake
@@ -0,0 +1,13 @@
+# Libraries come from Debian 12 packages; `.ci/run` installs them.
+find_package(Threads REQUIRED)
+find_package(absl REQUIRED)
+find_package(Boost 1.81 REQUIRED COMPONENTS json unit_test_framework)
+find_package(gflags REQUIRED)
+find_package(CURL REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(rapidcheck REQUIRED)
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(MICROHTTPD REQUIRED IMPORTED_TARGET libmicrohttpd)
+pkg_check_modules(LOG4CPLUS REQUIRED IMPORTED_TARGET log4cplus)
+pkg_check_modules(URCU REQUIRED IMPORTED_TARGET liburcu-bp)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
--- /dev/null
+++ b/packages/core/include/marigoldquay/core/fwd.h
@@ -0,0 +1,21 @@
+// Public types of the core package.
+#ifndef MARIGOLDQUAY_CORE_FWD_H_
+#define MARIGOLDQUAY_CORE_FWD_H_
+
+namespace marigoldquay {
+
+class Clock;
+class Counter;
+class Gauge;
+class Logger;
+class MetricsRegistry;
+class Summary;
+class SystemClock;
+struct Error;
+struct Instance;
+template <class T>
+class RcuCell;
+
+}  // namespace marigoldquay
+
+#endif  // MARIGOLDQUAY_CORE_FWD_H_
--- /dev/null
+++ b/packages/entry/include/marigoldquay/entry/fwd.h
@@ -0,0 +1,7 @@
+// Public types of the entry package.
+#ifndef MARIGOLDQUAY_ENTRY_FWD_H_
+#define MARIGOLDQUAY_ENTRY_FWD_H_
+
+namespace marigoldquay {}
+
+#endif  // MARIGOLDQUAY_ENTRY_FWD_H_
--- /dev/null
+++ b/packages/transport/include/marigoldquay/transport/fwd.h
@@ -0,0 +1,18 @@
+// Public types of the transport package.
+#ifndef MARIGOLDQUAY_TRANSPORT_FWD_H_
+#define MARIGOLDQUAY_TRANSPORT_FWD_H_
+
+namespace marigoldquay {
+
+class HttpClient;
+class ReplyWriter;
+class RpcClient;
+class RpcRegistry;
+struct CallOptions;
+struct HttpRequest;
+struct HttpResponse;
+struct RpcCall;
+
+}  // namespace marigoldquay
+
+#endif  // MARIGOLDQUAY_TRANSPORT_FWD_H_
