--- a/packages/protocol/include/marigoldquay/protocol/inner_generated.h
+++ b/packages/protocol/include/marigoldquay/protocol/inner_generated.h
@@ -2652,8 +2652,11 @@
   std::string workspace{};
   std::string key_id{};
   std::string idempotency_key{};
-  std::string body{};
-  bool chat = false;
+  std::string model{};
+  std::string prompt{};
+  int64_t max_tokens = 0;
+  int32_t priority = 0;
+  uint32_t timeout_ms = 0;
   AskRequestT() = default;
   AskRequestT(const AskRequestT &o);
   AskRequestT(AskRequestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2673,8 +2676,11 @@
     VT_WORKSPACE = 8,
     VT_KEY_ID = 10,
     VT_IDEMPOTENCY_KEY = 12,
-    VT_BODY = 14,
-    VT_CHAT = 16
+    VT_MODEL = 14,
+    VT_PROMPT = 16,
+    VT_MAX_TOKENS = 18,
+    VT_PRIORITY = 20,
+    VT_TIMEOUT_MS = 22
   };
   const marigoldquay::protocol::InstanceId *sender() const {
     return GetPointer<const marigoldquay::protocol::InstanceId *>(VT_SENDER);
@@ -2691,11 +2697,20 @@
   const flatbuffers::String *idempotency_key() const {
     return GetPointer<const flatbuffers::String *>(VT_IDEMPOTENCY_KEY);
   }
-  const flatbuffers::String *body() const {
-    return GetPointer<const flatbuffers::String *>(VT_BODY);
+  const flatbuffers::String *model() const {
+    return GetPointer<const flatbuffers::String *>(VT_MODEL);
+  }
+  const flatbuffers::String *prompt() const {
+    return GetPointer<const flatbuffers::String *>(VT_PROMPT);
   }
-  bool chat() const {
-    return GetField<uint8_t>(VT_CHAT, 0) != 0;
+  int64_t max_tokens() const {
+    return GetField<int64_t>(VT_MAX_TOKENS, 0);
+  }
+  int32_t priority() const {
+    return GetField<int32_t>(VT_PRIORITY, 0);
+  }
+  uint32_t timeout_ms() const {
+    return GetField<uint32_t>(VT_TIMEOUT_MS, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -2709,9 +2724,13 @@
            verifier.VerifyString(key_id()) &&
            VerifyOffsetRequired(verifier, VT_IDEMPOTENCY_KEY) &&
            verifier.VerifyString(idempotency_key()) &&
-           VerifyOffsetRequired(verifier, VT_BODY) &&
-           verifier.VerifyString(body()) &&
-           VerifyField<uint8_t>(verifier, VT_CHAT, 1) &&
+           VerifyOffsetRequired(verifier, VT_MODEL) &&
+           verifier.VerifyString(model()) &&
+           VerifyOffsetRequired(verifier, VT_PROMPT) &&
+           verifier.VerifyString(prompt()) &&
+           VerifyField<int64_t>(verifier, VT_MAX_TOKENS, 8) &&
+           VerifyField<int32_t>(verifier, VT_PRIORITY, 4) &&
+           VerifyField<uint32_t>(verifier, VT_TIMEOUT_MS, 4) &&
            verifier.EndTable();
   }
   AskRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2738,11 +2757,20 @@
   void add_idempotency_key(flatbuffers::Offset<flatbuffers::String> idempotency_key) {
     fbb_.AddOffset(AskRequest::VT_IDEMPOTENCY_KEY, idempotency_key);
   }
-  void add_body(flatbuffers::Offset<flatbuffers::String> body) {
-    fbb_.AddOffset(AskRequest::VT_BODY, body);
+  void add_model(flatbuffers::Offset<flatbuffers::String> model) {
+    fbb_.AddOffset(AskRequest::VT_MODEL, model);
   }
-  void add_chat(bool chat) {
-    fbb_.AddElement<uint8_t>(AskRequest::VT_CHAT, static_cast<uint8_t>(chat), 0);
+  void add_prompt(flatbuffers::Offset<flatbuffers::String> prompt) {
+    fbb_.AddOffset(AskRequest::VT_PROMPT, prompt);
+  }
+  void add_max_tokens(int64_t max_tokens) {
+    fbb_.AddElement<int64_t>(AskRequest::VT_MAX_TOKENS, max_tokens, 0);
+  }
+  void add_priority(int32_t priority) {
+    fbb_.AddElement<int32_t>(AskRequest::VT_PRIORITY, priority, 0);
+  }
+  void add_timeout_ms(uint32_t timeout_ms) {
+    fbb_.AddElement<uint32_t>(AskRequest::VT_TIMEOUT_MS, timeout_ms, 0);
   }
   explicit AskRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -2755,7 +2783,8 @@
     fbb_.Required(o, AskRequest::VT_REQUEST_ID);
     fbb_.Required(o, AskRequest::VT_WORKSPACE);
     fbb_.Required(o, AskRequest::VT_IDEMPOTENCY_KEY);
-    fbb_.Required(o, AskRequest::VT_BODY);
+    fbb_.Required(o, AskRequest::VT_MODEL);
+    fbb_.Required(o, AskRequest::VT_PROMPT);
     return o;
   }
 };
@@ -2767,16 +2796,22 @@
     flatbuffers::Offset<flatbuffers::String> workspace = 0,
     flatbuffers::Offset<flatbuffers::String> key_id = 0,
     flatbuffers::Offset<flatbuffers::String> idempotency_key = 0,
-    flatbuffers::Offset<flatbuffers::String> body = 0,
-    bool chat = false) {
+    flatbuffers::Offset<flatbuffers::String> model = 0,
+    flatbuffers::Offset<flatbuffers::String> prompt = 0,
+    int64_t max_tokens = 0,
+    int32_t priority = 0,
+    uint32_t timeout_ms = 0) {
   AskRequestBuilder builder_(_fbb);
-  builder_.add_body(body);
+  builder_.add_max_tokens(max_tokens);
+  builder_.add_timeout_ms(timeout_ms);
+  builder_.add_priority(priority);
+  builder_.add_prompt(prompt);
+  builder_.add_model(model);
   builder_.add_idempotency_key(idempotency_key);
   builder_.add_key_id(key_id);
   builder_.add_workspace(workspace);
   builder_.add_request_id(request_id);
   builder_.add_sender(sender);
-  builder_.add_chat(chat);
   return builder_.Finish();
 }
 
@@ -2792,13 +2827,17 @@
     const char *workspace = nullptr,
     const char *key_id = nullptr,
     const char *idempotency_key = nullptr,
-    const char *body = nullptr,
-    bool chat = false) {
+    const char *model = nullptr,
+    const char *prompt = nullptr,
+    int64_t max_tokens = 0,
+    int32_t priority = 0,
+    uint32_t timeout_ms = 0) {
   auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
   auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
   auto key_id__ = key_id ? _fbb.CreateString(key_id) : 0;
   auto idempotency_key__ = idempotency_key ? _fbb.CreateString(idempotency_key) : 0;
-  auto body__ = body ? _fbb.CreateString(body) : 0;
+  auto model__ = model ? _fbb.CreateString(model) : 0;
+  auto prompt__ = prompt ? _fbb.CreateString(prompt) : 0;
   return marigoldquay::protocol::CreateAskRequest(
       _fbb,
       sender,
@@ -2806,8 +2845,11 @@
       workspace__,
       key_id__,
       idempotency_key__,
-      body__,
-      chat);
+      model__,
+      prompt__,
+      max_tokens,
+      priority,
+      timeout_ms);
 }
 
 flatbuffers::Offset<AskRequest> CreateAskRequest(flatbuffers::FlatBufferBuilder &_fbb, const AskRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2827,6 +2869,10 @@
   int64_t prompt_tokens = 0;
   int64_t output_tokens = 0;
   uint32_t retry_after_ms = 0;
+  std::string error_type{};
+  std::string message{};
+  std::string field{};
+  bool not_run = false;
 };
 
 struct AskReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2846,7 +2892,11 @@
     VT_FINISH_REASON = 16,
     VT_PROMPT_TOKENS = 18,
     VT_OUTPUT_TOKENS = 20,
-    VT_RETRY_AFTER_MS = 22
+    VT_RETRY_AFTER_MS = 22,
+    VT_ERROR_TYPE = 24,
+    VT_MESSAGE = 26,
+    VT_FIELD = 28,
+    VT_NOT_RUN = 30
   };
   marigoldquay::protocol::AskPart part() const {
     return static_cast<marigoldquay::protocol::AskPart>(GetField<uint8_t>(VT_PART, 0));
@@ -2878,6 +2928,18 @@
   uint32_t retry_after_ms() const {
     return GetField<uint32_t>(VT_RETRY_AFTER_MS, 0);
   }
+  const flatbuffers::String *error_type() const {
+    return GetPointer<const flatbuffers::String *>(VT_ERROR_TYPE);
+  }
+  const flatbuffers::String *message() const {
+    return GetPointer<const flatbuffers::String *>(VT_MESSAGE);
+  }
+  const flatbuffers::String *field() const {
+    return GetPointer<const flatbuffers::String *>(VT_FIELD);
+  }
+  bool not_run() const {
+    return GetField<uint8_t>(VT_NOT_RUN, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_PART, 1) &&
@@ -2892,6 +2954,13 @@
            VerifyField<int64_t>(verifier, VT_PROMPT_TOKENS, 8) &&
            VerifyField<int64_t>(verifier, VT_OUTPUT_TOKENS, 8) &&
            VerifyField<uint32_t>(verifier, VT_RETRY_AFTER_MS, 4) &&
+           VerifyOffset(verifier, VT_ERROR_TYPE) &&
+           verifier.VerifyString(error_type()) &&
+           VerifyOffset(verifier, VT_MESSAGE) &&
+           verifier.VerifyString(message()) &&
+           VerifyOffset(verifier, VT_FIELD) &&
+           verifier.VerifyString(field()) &&
+           VerifyField<uint8_t>(verifier, VT_NOT_RUN, 1) &&
            verifier.EndTable();
   }
   AskReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2933,6 +3002,18 @@
   void add_retry_after_ms(uint32_t retry_after_ms) {
     fbb_.AddElement<uint32_t>(AskReply::VT_RETRY_AFTER_MS, retry_after_ms, 0);
   }
+  void add_error_type(flatbuffers::Offset<flatbuffers::String> error_type) {
+    fbb_.AddOffset(AskReply::VT_ERROR_TYPE, error_type);
+  }
+  void add_message(flatbuffers::Offset<flatbuffers::String> message) {
+    fbb_.AddOffset(AskReply::VT_MESSAGE, message);
+  }
+  void add_field(flatbuffers::Offset<flatbuffers::String> field) {
+    fbb_.AddOffset(AskReply::VT_FIELD, field);
+  }
+  void add_not_run(bool not_run) {
+    fbb_.AddElement<uint8_t>(AskReply::VT_NOT_RUN, static_cast<uint8_t>(not_run), 0);
+  }
   explicit AskReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2955,17 +3036,25 @@
     flatbuffers::Offset<flatbuffers::String> finish_reason = 0,
     int64_t prompt_tokens = 0,
     int64_t output_tokens = 0,
-    uint32_t retry_after_ms = 0) {
+    uint32_t retry_after_ms = 0,
+    flatbuffers::Offset<flatbuffers::String> error_type = 0,
+    flatbuffers::Offset<flatbuffers::String> message = 0,
+    flatbuffers::Offset<flatbuffers::String> field = 0,
+    bool not_run = false) {
   AskReplyBuilder builder_(_fbb);
   builder_.add_output_tokens(output_tokens);
   builder_.add_prompt_tokens(prompt_tokens);
   builder_.add_digest(digest);
   builder_.add_total(total);
   builder_.add_sequence(sequence);
+  builder_.add_field(field);
+  builder_.add_message(message);
+  builder_.add_error_type(error_type);
   builder_.add_retry_after_ms(retry_after_ms);
   builder_.add_finish_reason(finish_reason);
   builder_.add_data(data);
   builder_.add_status(status);
+  builder_.add_not_run(not_run);
   builder_.add_part(part);
   return builder_.Finish();
 }
@@ -2986,9 +3075,16 @@
     const char *finish_reason = nullptr,
     int64_t prompt_tokens = 0,
     int64_t output_tokens = 0,
-    uint32_t retry_after_ms = 0) {
+    uint32_t retry_after_ms = 0,
+    const char *error_type = nullptr,
+    const char *message = nullptr,
+    const char *field = nullptr,
+    bool not_run = false) {
   auto data__ = data ? _fbb.CreateString(data) : 0;
   auto finish_reason__ = finish_reason ? _fbb.CreateString(finish_reason) : 0;
+  auto error_type__ = error_type ? _fbb.CreateString(error_type) : 0;
+  auto message__ = message ? _fbb.CreateString(message) : 0;
+  auto field__ = field ? _fbb.CreateString(field) : 0;
   return marigoldquay::protocol::CreateAskReply(
       _fbb,
       part,
@@ -3000,7 +3096,11 @@
       finish_reason__,
       prompt_tokens,
       output_tokens,
-      retry_after_ms);
+      retry_after_ms,
+      error_type__,
+      message__,
+      field__,
+      not_run);
 }
 
 flatbuffers::Offset<AskReply> CreateAskReply(flatbuffers::FlatBufferBuilder &_fbb, const AskReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5375,8 +5475,11 @@
       (lhs.workspace == rhs.workspace) &&
       (lhs.key_id == rhs.key_id) &&
       (lhs.idempotency_key == rhs.idempotency_key) &&
-      (lhs.body == rhs.body) &&
-      (lhs.chat == rhs.chat);
+      (lhs.model == rhs.model) &&
+      (lhs.prompt == rhs.prompt) &&
+      (lhs.max_tokens == rhs.max_tokens) &&
+      (lhs.priority == rhs.priority) &&
+      (lhs.timeout_ms == rhs.timeout_ms);
 }
 
 inline bool operator!=(const AskRequestT &lhs, const AskRequestT &rhs) {
@@ -5390,8 +5493,11 @@
         workspace(o.workspace),
         key_id(o.key_id),
         idempotency_key(o.idempotency_key),
-        body(o.body),
-        chat(o.chat) {
+        model(o.model),
+        prompt(o.prompt),
+        max_tokens(o.max_tokens),
+        priority(o.priority),
+        timeout_ms(o.timeout_ms) {
 }
 
 inline AskRequestT &AskRequestT::operator=(AskRequestT o) FLATBUFFERS_NOEXCEPT {
@@ -5400,8 +5506,11 @@
   std::swap(workspace, o.workspace);
   std::swap(key_id, o.key_id);
   std::swap(idempotency_key, o.idempotency_key);
-  std::swap(body, o.body);
-  std::swap(chat, o.chat);
+  std::swap(model, o.model);
+  std::swap(prompt, o.prompt);
+  std::swap(max_tokens, o.max_tokens);
+  std::swap(priority, o.priority);
+  std::swap(timeout_ms, o.timeout_ms);
   return *this;
 }
 
@@ -5419,8 +5528,11 @@
   { auto _e = workspace(); if (_e) _o->workspace = _e->str(); }
   { auto _e = key_id(); if (_e) _o->key_id = _e->str(); }
   { auto _e = idempotency_key(); if (_e) _o->idempotency_key = _e->str(); }
-  { auto _e = body(); if (_e) _o->body = _e->str(); }
-  { auto _e = chat(); _o->chat = _e; }
+  { auto _e = model(); if (_e) _o->model = _e->str(); }
+  { auto _e = prompt(); if (_e) _o->prompt = _e->str(); }
+  { auto _e = max_tokens(); _o->max_tokens = _e; }
+  { auto _e = priority(); _o->priority = _e; }
+  { auto _e = timeout_ms(); _o->timeout_ms = _e; }
 }
 
 inline flatbuffers::Offset<AskRequest> AskRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AskRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5436,8 +5548,11 @@
   auto _workspace = _fbb.CreateString(_o->workspace);
   auto _key_id = _o->key_id.empty() ? 0 : _fbb.CreateString(_o->key_id);
   auto _idempotency_key = _fbb.CreateString(_o->idempotency_key);
-  auto _body = _fbb.CreateString(_o->body);
-  auto _chat = _o->chat;
+  auto _model = _fbb.CreateString(_o->model);
+  auto _prompt = _fbb.CreateString(_o->prompt);
+  auto _max_tokens = _o->max_tokens;
+  auto _priority = _o->priority;
+  auto _timeout_ms = _o->timeout_ms;
   return marigoldquay::protocol::CreateAskRequest(
       _fbb,
       _sender,
@@ -5445,8 +5560,11 @@
       _workspace,
       _key_id,
       _idempotency_key,
-      _body,
-      _chat);
+      _model,
+      _prompt,
+      _max_tokens,
+      _priority,
+      _timeout_ms);
 }
 
 
@@ -5461,7 +5579,11 @@
       (lhs.finish_reason == rhs.finish_reason) &&
       (lhs.prompt_tokens == rhs.prompt_tokens) &&
       (lhs.output_tokens == rhs.output_tokens) &&
-      (lhs.retry_after_ms == rhs.retry_after_ms);
+      (lhs.retry_after_ms == rhs.retry_after_ms) &&
+      (lhs.error_type == rhs.error_type) &&
+      (lhs.message == rhs.message) &&
+      (lhs.field == rhs.field) &&
+      (lhs.not_run == rhs.not_run);
 }
 
 inline bool operator!=(const AskReplyT &lhs, const AskReplyT &rhs) {
@@ -5488,6 +5610,10 @@
   { auto _e = prompt_tokens(); _o->prompt_tokens = _e; }
   { auto _e = output_tokens(); _o->output_tokens = _e; }
   { auto _e = retry_after_ms(); _o->retry_after_ms = _e; }
+  { auto _e = error_type(); if (_e) _o->error_type = _e->str(); }
+  { auto _e = message(); if (_e) _o->message = _e->str(); }
+  { auto _e = field(); if (_e) _o->field = _e->str(); }
+  { auto _e = not_run(); _o->not_run = _e; }
 }
 
 inline flatbuffers::Offset<AskReply> AskReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AskReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5508,6 +5634,10 @@
   auto _prompt_tokens = _o->prompt_tokens;
   auto _output_tokens = _o->output_tokens;
   auto _retry_after_ms = _o->retry_after_ms;
+  auto _error_type = _o->error_type.empty() ? 0 : _fbb.CreateString(_o->error_type);
+  auto _message = _o->message.empty() ? 0 : _fbb.CreateString(_o->message);
+  auto _field = _o->field.empty() ? 0 : _fbb.CreateString(_o->field);
+  auto _not_run = _o->not_run;
   return marigoldquay::protocol::CreateAskReply(
       _fbb,
       _part,
@@ -5519,7 +5649,11 @@
       _finish_reason,
       _prompt_tokens,
       _output_tokens,
-      _retry_after_ms);
+      _retry_after_ms,
+      _error_type,
+      _message,
+      _field,
+      _not_run);
 }
 
 
