--- a/packages/entry/include/marigoldquay/entry/entry_service.h
+++ b/packages/entry/include/marigoldquay/entry/entry_service.h
@@ -10,7 +10,7 @@
 #include <random>
 #include <string>
 
-#include "marigoldquay/backend/plain_client.h"
+#include "marigoldquay/backend/plain_services.h"
 #include "marigoldquay/claims/run_once.h"
 #include "marigoldquay/config/config_view.h"
 #include "marigoldquay/entry/http_server.h"
