--- a/packages/transport/include/marigoldquay/transport/fwd.h
+++ b/packages/transport/include/marigoldquay/transport/fwd.h
@@ -8,10 +8,14 @@
 class ReplyWriter;
 class RpcClient;
 class RpcRegistry;
+class RpcServer;
 struct CallOptions;
+struct HttpOptions;
 struct HttpRequest;
 struct HttpResponse;
 struct RpcCall;
+struct RpcClientOptions;
+struct RpcServerOptions;
 
 }  // namespace marigoldquay
 
