--- a/packages/core/include/marigoldquay/core/fwd.h
+++ b/packages/core/include/marigoldquay/core/fwd.h
@@ -4,6 +4,7 @@
 
 namespace marigoldquay {
 
+class BurnRecorder;
 class Clock;
 class Counter;
 class Gauge;
@@ -11,6 +12,8 @@
 class MetricsRegistry;
 class Summary;
 class SystemClock;
+struct BurnCounts;
+struct BurnWindowCounts;
 struct Error;
 struct Instance;
 template <class T>
