--- a/apps/marigoldquayd/settings.cc
+++ b/apps/marigoldquayd/settings.cc
@@ -28,7 +28,7 @@
 DEFINE_string(inner_listen, "127.0.0.1:7070", "IPv4 address and port for other VMs");
 DEFINE_string(inner_advertise, "", "Address given to other VMs; default: the bound address");
 DEFINE_string(operator_listen, "127.0.0.1:9090", "IPv4 address and port for operators");
-DEFINE_string(operator_token, "", "Token that operators must present, at least 8 bytes");
+DEFINE_string(operator_token, "", "Token that operators must present, at least 16 bytes");
 DEFINE_string(log_url, "", "URL of the platform's log, http://HOST:PORT");
 DEFINE_string(vm_list_url, "", "URL of the platform's list of VMs, http://HOST:PORT");
 DEFINE_string(seed_peers, "", "Inner addresses of some other VMs, comma-separated");
@@ -44,9 +44,9 @@
              "Longest time for a call to a plain service in seconds, 1 to 600");
 DEFINE_int32(address_max_age_s, 10, "How long callers may keep addresses, in seconds, 1 to 300");
 DEFINE_int32(drain_timeout_s, 600, "Longest time for a drain in seconds, 1 to 86400");
-DEFINE_string(
-    placement_policy, "reserve",
-    "reserve, or a baseline for comparison: round_robin, least_reported_load, two_choices");
+DEFINE_string(placement_policy, "reserve",
+              "reservation, or a baseline for comparison: round_robin, least_reported_load, "
+              "least_outstanding_of_two");
 DEFINE_bool(check, false, "Check the settings, print them and exit");
 
 namespace marigoldquay {
@@ -139,8 +139,8 @@
   if (!FLAGS_inner_advertise.empty()) {
     checker.IpAddress("inner_advertise", FLAGS_inner_advertise, false);
   }
-  checker.Require(FLAGS_operator_token.size() >= 8, "operator_token",
-                  FLAGS_operator_token.empty() ? "" : "(set)", "at least 8 bytes");
+  checker.Require(FLAGS_operator_token.size() >= 16, "operator_token",
+                  FLAGS_operator_token.empty() ? "" : "(set)", "at least 16 bytes");
   checker.Url("log_url", FLAGS_log_url);
   if (!FLAGS_vm_list_url.empty()) checker.Url("vm_list_url", FLAGS_vm_list_url);
   for (const auto& peer : absl::StrSplit(FLAGS_seed_peers, ',', absl::SkipEmpty())) {
@@ -158,7 +158,7 @@
   checker.Range("address_max_age_s", FLAGS_address_max_age_s, 1, 300);
   checker.Range("drain_timeout_s", FLAGS_drain_timeout_s, 1, 86400);
   checker.OneOf("placement_policy", FLAGS_placement_policy,
-                {"reserve", "round_robin", "least_reported_load", "two_choices"});
+                {"reservation", "round_robin", "least_reported_load", "least_outstanding_of_two"});
 }
 
 Settings FromFlags() {
--- a/tests/support/system.h
+++ b/tests/support/system.h
@@ -102,7 +102,7 @@
 /// /orders and the idempotent route /status. Failures throw std::runtime_error.
 class System {
  public:
-  static constexpr const char* kOperatorToken = "operator-token";
+  static constexpr const char* kOperatorToken = "local-operator-token";
 
   explicit System(SystemOptions options = {});
   ~System();
