Test the fake engine's prefill order and name missing fields in its errors

Cause: schedulers are judged against the fake engine, and nothing guarded its order of prefills or the bound of its queue; an incomplete request got "out of range".

Ruled out: thread sanitizer on absl::Mutex. Debian's Abseil is built without its annotations, so every mutex-protected access is reported as a race.

System has not run with the real marigoldquayd.

--- a/tests/fakes/fake_engine.cc
+++ b/tests/fakes/fake_engine.cc
@@ -17,6 +17,7 @@
 #include <list>
 #include <memory>
 #include <random>
+#include <stdexcept>
 #include <thread>
 
 #include "absl/container/flat_hash_map.h"
@@ -91,7 +92,9 @@
 };
 
 std::string Text(const boost::json::object& object, const char* name) {
-  return std::string(object.at(name).as_string().c_str());
+  const auto* value = object.if_contains(name);
+  if (value == nullptr) throw std::invalid_argument(absl::StrCat("field ", name, " is missing"));
+  return value->as_string().c_str();
 }
 
 std::int64_t Number(const boost::json::object& object, const char* name, std::int64_t fallback) {
--- a/tests/fakes/fakes_test.cc
+++ b/tests/fakes/fakes_test.cc
@@ -4,6 +4,8 @@
 #include <thread>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "absl/synchronization/mutex.h"
 #include "system_test.h"
 
 namespace marigoldquay::testing {
@@ -19,13 +21,13 @@
 }
 
 ClientResponse Prefill(const Server& server, const std::string& id, const std::string& prompt,
-                       int prompt_tokens) {
+                       int prompt_tokens, int priority = 0) {
   return PostJson(server.Url("/v1/prefill"), {{"request_id", id},
                                               {"holder", "vm1/1"},
                                               {"model", "brief-writer"},
                                               {"prompt", prompt},
                                               {"prompt_tokens", prompt_tokens},
-                                              {"priority", 0}});
+                                              {"priority", priority}});
 }
 
 ClientRequest DecodeRequest(const Server& decode, const Server& prefill, const std::string& id,
@@ -110,6 +112,34 @@
   BOOST_TEST(Stat(prefill, "wasted_prefills") == 1);
 }
 
+// Guards against an engine that prefills in parallel or in the wrong order, or queues without
+// bound, which would make schedulers look better than they are.
+BOOST_AUTO_TEST_CASE(EnginePrefillsOneAtATimeByPriority) {
+  SystemOptions options = OnlyFakes(1, 0, 0);
+  options.prefill_flags = {"--prefill_tokens_per_s=5000", "--queue=2", "--evict_ms=10000"};
+  TestSystem system(options);
+  const Server& prefill = system.backend("p1").server;
+  absl::Mutex mutex;
+  std::vector<std::string> finished;
+  std::vector<std::thread> threads;
+  const auto start = [&](const std::string& id, int priority) {
+    threads.emplace_back([&, id, priority] {
+      Prefill(prefill, id, "x", 2000, priority);
+      absl::MutexLock lock(&mutex);
+      finished.push_back(id);
+    });
+    BOOST_TEST(Eventually(absl::Seconds(2), [&] {
+      return Stat(prefill, "held_pieces") == static_cast<int>(threads.size());
+    }));
+  };
+  start("first", 0);
+  start("low", 1);
+  start("high", 2);
+  BOOST_TEST(Prefill(prefill, "over", "x", 2000).status == 429);
+  for (std::thread& thread : threads) thread.join();
+  BOOST_TEST(absl::StrJoin(finished, " ") == "first high low");
+}
+
 // Guards against stream faults that do nothing, and against missed key leaks and old orders.
 BOOST_AUTO_TEST_CASE(EngineFaultsAndChecks) {
   SystemOptions options = OnlyFakes(1, 1, 0);
