--- a/apps/marigoldquayd/daemon.cc
+++ b/apps/marigoldquayd/daemon.cc
@@ -119,7 +119,7 @@
         engines_(MakeHttpEngineClient(*http_, members_)),
         releaser_(*http_, config_, clock_),
         plain_(*http_, config_, leaving_, clock_, retry_budget_),
-        steward_({}, *http_, config_, members_, *rpc_, active_, leaving_, clock_),
+        steward_({}, *http_, *reports_, *rpc_, config_, members_, active_, clock_),
         claims_({}, members_, *log_, *rpc_, plain_, clock_),
         burn_(clock_),
         runner_({config_, quota_, placements_, *engines_, releaser_, active_, clock_,
@@ -167,6 +167,7 @@
                                                      clock_, members_);
     quota_.Start(config_);
     claims_.Start();
+    steward_threads_ = std::make_unique<StewardThreads>(StewardOptions(), steward_, clock_);
     snapshots_.Start();
     if (!settings_.vm_list_url.empty()) {
       vm_list_ = MakeHttpVmListClient(settings_.vm_list_url, *http_);
@@ -212,7 +213,7 @@
     membership_.RegisterHandlers(rpc_server_);
     homes_.Register(rpc_server_);
     scheduler_.RegisterHandlers(rpc_server_);
-    steward_.RegisterHandlers(rpc_server_);
+    RegisterHoldsHandler(rpc_server_, active_, members_);
     claims_.RegisterHandlers(rpc_server_);
     completions_.RegisterHandlers(rpc_server_);
     operator_actions_.RegisterHandlers(rpc_server_);
@@ -304,7 +305,7 @@
   BackgroundHoldReleaser releaser_;
   RetryBudget retry_budget_;
   PlainServices plain_;
-  ActiveRequests active_;
+  ActiveRequestSet active_;
   Steward steward_;
   ClaimService claims_;
   BurnRecorder burn_;
@@ -319,6 +320,7 @@
   std::unique_ptr<HttpServer> caller_server_;
   std::unique_ptr<VmListClient> vm_list_;
   std::unique_ptr<LeavingServersPoller> vm_list_poller_;
+  std::unique_ptr<StewardThreads> steward_threads_;
   std::unique_ptr<StreamTailer> config_tailer_;
   std::unique_ptr<StreamTailer> members_tailer_;
   std::atomic<bool> ready_{false};
--- a/apps/marigoldquayd/settings.cc
+++ b/apps/marigoldquayd/settings.cc
@@ -44,7 +44,7 @@
              "Longest time for a call to a plain service in seconds, 1 to 600");
 DEFINE_int32(address_max_age_s, 10, "How long callers may keep addresses, in seconds, 1 to 300");
 DEFINE_int32(drain_timeout_s, 600, "Longest time for a drain in seconds, 1 to 86400");
-DEFINE_string(placement_policy, "reserve",
+DEFINE_string(placement_policy, "reservation",
               "reservation, or a baseline for comparison: round_robin, least_reported_load, "
               "least_outstanding_of_two");
 DEFINE_bool(check, false, "Check the settings, print them and exit");
--- a/packages/exchange/include/marigoldquay/exchange/completion_runner.h
+++ b/packages/exchange/include/marigoldquay/exchange/completion_runner.h
@@ -28,7 +28,7 @@
   SchedulerClient& scheduler;
   EngineClient& engines;
   HoldReleaser& releaser;
-  ActiveRequests& active;
+  ActiveRequestSet& active;
   const Clock& clock;
   TargetRecorder record_target;
 };
--- a/packages/exchange/tests/completion_runner_test.cc
+++ b/packages/exchange/tests/completion_runner_test.cc
@@ -130,7 +130,7 @@
   FakeScheduler scheduler;
   FakeEngines engines;
   FakeReleaser releaser;
-  ActiveRequests active;
+  ActiveRequestSet active;
   ManualClock clock;
   std::string model = "model";
   std::string text;
