Send no call on a connection that the peer has closed

Cause: rpc_client/reopens_after_restart failed in 5 of 40 runs with sixteen test programs at a time on ten cores. The socket takes bytes after the peer has closed while the reading thread has not yet seen the end, so a call to a restarted peer ended as unavailable (may have run).

Send now asks the socket for the end of the stream first and reports the connection as closed, so that the call goes to a fresh one; replies that came before the end are still read. Ruled out: a repeat after the failure, because the bytes may have been read. One declaration of the command line is formatted.

--- a/apps/marigoldquay/commands.h
+++ b/apps/marigoldquay/commands.h
@@ -42,7 +42,8 @@
                                 const CommandInput& input);
   Result<ExitCode> ChangeObject(const KindSpec& spec, const std::string& id,
                                 const CommandInput& input);
-  Result<ExitCode> CreateKey(const KindSpec& spec, const std::string& id, const CommandInput& input);
+  Result<ExitCode> CreateKey(const KindSpec& spec, const std::string& id,
+                             const CommandInput& input);
   Result<ExitCode> RotateKey(const KindSpec& spec, const std::string& id,
                              const CommandInput& input);
   // Plans a key with a new secret and prints the key's text, the only time that it is shown.
--- a/packages/transport/src/connection.cc
+++ b/packages/transport/src/connection.cc
@@ -37,7 +37,12 @@
 
 bool Connection::closed() const {
   const std::scoped_lock lock(mutex_);
-  return closed_;
+  return closed_ || peer_closed_;
+}
+
+bool Connection::PeerClosed() const {
+  pollfd state{fd_.get(), POLLRDHUP, 0};
+  return poll(&state, 1, 0) > 0;
 }
 
 bool Connection::HasQueued() const {
@@ -84,7 +89,10 @@
     return closed_ || queue_.size() - sent_ + frame.size() <= limits_.max_queued_bytes;
   };
   if (!fits()) room_.wait_for(lock, absl::ToChronoMilliseconds(max_wait), fits);
-  if (closed_) return SendStatus::kClosed;
+  // The socket would still take bytes that the peer never reads while the reading thread has not
+  // yet seen the end of the stream; the caller could then not know that nothing had an effect.
+  peer_closed_ = peer_closed_ || (!closed_ && PeerClosed());
+  if (closed_ || peer_closed_) return SendStatus::kClosed;
   if (!fits()) return SendStatus::kFull;
   std::size_t written = 0;
   if (queue_.empty()) {
--- a/packages/transport/src/connection.h
+++ b/packages/transport/src/connection.h
@@ -55,6 +55,7 @@
   /// for the peer to close, then closes.
   void SayFarewell(absl::string_view frame);
 
+  /// Whether nothing more can be sent.
   bool closed() const;
   const Address& peer() const { return peer_; }
 
@@ -62,6 +63,7 @@
   // Writes queued bytes as far as the socket takes them; closes on errors. Needs mutex_.
   void Flush();
   void CloseLocked();
+  bool PeerClosed() const;
   bool HasQueued() const;
   // How the connection has overstepped a time limit, if it has.
   std::optional<Error> CheckTimes(absl::Time now) const;
@@ -86,6 +88,8 @@
   std::size_t sent_ = 0;
   absl::Time last_progress_;
   bool closed_ = false;
+  // The peer sends nothing more; what it sent before is still read.
+  bool peer_closed_ = false;
 };
 
 }  // namespace marigoldquay
