Wait for workspace homes in the test harness

Cause: in a system whose VMs all start at once, the first completion was rejected with quota_unavailable, because the homes wait out the leases of the members that joined a moment earlier.

--- a/tests/support/system.cc
+++ b/tests/support/system.cc
@@ -67,6 +67,28 @@
   if (!options_.configure || options_.vms == 0) return;
   RequireSuccess("confirm", ApplyChanges(StandardChanges()));
   for (int i = 0; i < options_.vms; ++i) AwaitServing(i);
+  AwaitHomes();
+}
+
+void System::AwaitHomes(absl::Duration timeout) {
+  std::int64_t homes = 0;
+  const auto status = [&] {
+    return Fetch({"GET", absl::StrCat("http://", vms_.front().operator_address,
+                                      "/operator/v1/status"),
+                  {absl::StrCat("Authorization: Bearer ", kOperatorToken)}});
+  };
+  const bool all = Eventually(timeout, [&] {
+    homes = 0;
+    const auto json = status().Json();
+    const auto* members = json.if_contains("members");
+    if (members == nullptr) return false;
+    for (const auto& member : members->as_array()) {
+      const auto* count = member.as_object().if_contains("workspace_homes");
+      if (count != nullptr) homes += count->to_number<std::int64_t>();
+    }
+    return homes >= static_cast<std::int64_t>(options_.workspaces.size());
+  });
+  if (!all) RequireSuccess(absl::StrCat("only ", homes, " workspaces have a home"), status());
 }
 
 System::~System() {
--- a/tests/support/system.h
+++ b/tests/support/system.h
@@ -121,6 +121,10 @@
   /// Waits until the VM is ready and knows the configured keys.
   void AwaitServing(int index, absl::Duration timeout = absl::Seconds(20));
 
+  /// Waits until every workspace has a home. In a system that starts as a whole, the homes wait out
+  /// the leases of those that joined a moment earlier.
+  void AwaitHomes(absl::Duration timeout = absl::Seconds(20));
+
   /// Plans and confirms the changes at a VM; returns the answer to the confirm. Throws when the
   /// plan is not accepted within 20 s.
   ClientResponse ApplyChanges(const boost::json::array& changes, int vm = 0);
