--- a/tests/support/system.cc
+++ b/tests/support/system.cc
@@ -88,7 +88,10 @@
     }
     return homes >= static_cast<std::int64_t>(options_.workspaces.size());
   });
-  if (!all) RequireSuccess(absl::StrCat("only ", homes, " workspaces have a home"), status());
+  if (!all) {
+    throw std::runtime_error(
+        absl::StrCat("only ", homes, " workspaces have a home: ", status().body));
+  }
 }
 
 System::~System() {
