Add quota: replaying token bucket, workspace homes, standby allowances

Cause: a workspace's rate and burst hold fleet-wide, in every window, also when its home dies, is suspended or hands over, and a workspace below its rate must not be refused.

--- /dev/null
+++ b/packages/quota/src/token_bucket.cc
@@ -0,0 +1,136 @@
+// Slots, their levels and the replay after a settlement.
+#include "marigoldquay/quota/token_bucket.h"
+
+#include <algorithm>
+
+namespace marigoldquay {
+namespace {
+
+constexpr std::int64_t kMicrotokens = 1'000'000;
+
+std::int64_t SlotBoundaryAfter(std::int64_t time) {
+  return (time / TokenBucket::kSlotMicros + 1) * TokenBucket::kSlotMicros;
+}
+
+std::int64_t CeilDivide(std::int64_t value, std::int64_t divisor) {
+  return (value + divisor - 1) / divisor;
+}
+
+}  // namespace
+
+TokenBucket::TokenBucket(BucketLimits limits, TokenCount level, absl::Time now)
+    : last_time_(absl::ToUnixMicros(now)) {
+  const auto capped = std::clamp<TokenCount>(level, 0, limits.capacity);
+  slots_.push_back({last_time_, SlotBoundaryAfter(last_time_), limits, capped * kMicrotokens,
+                    /*spent=*/0, /*added=*/0});
+}
+
+std::int64_t TokenBucket::Refill(std::int64_t level, const BucketLimits& limits,
+                                 std::int64_t elapsed) {
+  const std::int64_t capacity = limits.capacity * kMicrotokens;
+  const std::int64_t room = capacity - level;
+  // Compared by time, because rate x elapsed can overflow after a long idle period.
+  if (room <= 0 || elapsed > room / limits.rate) return capacity;
+  return level + limits.rate * elapsed;
+}
+
+std::int64_t TokenBucket::LevelAt(const Slot& slot, std::int64_t time) {
+  const std::int64_t inside = std::min(time, slot.end) - slot.start;
+  const std::int64_t level = Refill(slot.level_at_start, slot.limits, inside) - slot.spent;
+  return time <= slot.end ? level : Refill(level, slot.limits, time - slot.end);
+}
+
+std::int64_t TokenBucket::Clamp(absl::Time now) const {
+  return std::max(last_time_, absl::ToUnixMicros(now));
+}
+
+std::int64_t TokenBucket::StartLevel(const Slot& previous, const Slot& slot) {
+  return std::min(LevelAt(previous, slot.start) + slot.added, slot.limits.capacity * kMicrotokens);
+}
+
+void TokenBucket::PushSlot(std::int64_t start, const BucketLimits& limits, std::int64_t added) {
+  Slot slot{start, SlotBoundaryAfter(start), limits, 0, /*spent=*/0, added};
+  slot.level_at_start = StartLevel(slots_.back(), slot);
+  slots_.push_back(slot);
+}
+
+TokenBucket::Slot& TokenBucket::OpenSlot(std::int64_t now) {
+  if (now >= slots_.back().end) PushSlot(now / kSlotMicros * kSlotMicros, slots_.back().limits);
+  return slots_.back();
+}
+
+void TokenBucket::Trim(std::int64_t now) {
+  // A dropped slot needs no folding, because its successor holds its own starting level.
+  while (slots_.size() > 1 &&
+         (slots_.front().end + kHistoryMicros < now || slots_.size() > kMaxSlots)) {
+    slots_.pop_front();
+    ++first_number_;
+  }
+}
+
+void TokenBucket::Replay(std::size_t from) {
+  for (std::size_t i = from + 1; i < slots_.size(); ++i) {
+    slots_[i].level_at_start = StartLevel(slots_[i - 1], slots_[i]);
+  }
+}
+
+std::optional<TokenBucket::SlotNumber> TokenBucket::Reserve(TokenCount tokens, absl::Time now) {
+  const std::int64_t time = Advance(now);
+  Trim(time);
+  // Also keeps the product below from overflowing.
+  if (tokens < 0 || tokens > limits().capacity) return std::nullopt;
+  if (LevelAt(slots_.back(), time) < tokens * kMicrotokens) return std::nullopt;
+  OpenSlot(time).spent += tokens * kMicrotokens;
+  return first_number_ + slots_.size() - 1;
+}
+
+TokenCount TokenBucket::Settle(SlotNumber slot, TokenCount unused, absl::Time now) {
+  const std::int64_t time = Advance(now);
+  Trim(time);
+  if (slot < first_number_ || slot - first_number_ >= slots_.size() || unused <= 0) return 0;
+  const std::size_t index = slot - first_number_;
+  Slot& changed = slots_[index];
+  if (changed.end + kHistoryMicros < time) return 0;
+  const TokenCount returned = std::min(unused, changed.spent / kMicrotokens);
+  changed.spent -= returned * kMicrotokens;
+  Replay(index);
+  return returned;
+}
+
+void TokenBucket::Add(TokenCount tokens, absl::Time now) {
+  const std::int64_t time = Advance(now);
+  Trim(time);
+  const TokenCount added = std::clamp<TokenCount>(tokens, 0, limits().capacity);
+  slots_.back().end = std::min(slots_.back().end, time);
+  PushSlot(time, slots_.back().limits, added * kMicrotokens);
+}
+
+void TokenBucket::SetLimits(BucketLimits limits, absl::Time now) {
+  if (limits == slots_.back().limits) return;
+  const std::int64_t time = Advance(now);
+  Trim(time);
+  slots_.back().end = std::min(slots_.back().end, time);
+  PushSlot(time, limits);
+}
+
+TokenCount TokenBucket::Level(absl::Time now) const {
+  return std::max<std::int64_t>(LevelAt(slots_.back(), Clamp(now)), 0) / kMicrotokens;
+}
+
+absl::Duration TokenBucket::TimeUntil(TokenCount tokens, absl::Time now) const {
+  const Slot& slot = slots_.back();
+  if (tokens > slot.limits.capacity) return absl::InfiniteDuration();
+  const std::int64_t time = Clamp(now);
+  const std::int64_t needed = tokens * kMicrotokens;
+  if (LevelAt(slot, time) >= needed) return absl::ZeroDuration();
+  const std::int64_t rate = slot.limits.rate;
+  if (slot.limits.capacity * kMicrotokens - slot.spent >= needed) {
+    const std::int64_t inside =
+        slot.start + CeilDivide(needed + slot.spent - slot.level_at_start, rate);
+    if (inside <= slot.end) return absl::Microseconds(inside - time);
+  }
+  const std::int64_t from = std::max(slot.end, time);
+  return absl::Microseconds(from + CeilDivide(needed - LevelAt(slot, from), rate) - time);
+}
+
+}  // namespace marigoldquay
--- /dev/null
+++ b/packages/quota/src/workspace_homes.cc
@@ -0,0 +1,315 @@
+// Roles, handover and RPC handlers of the workspace homes.
+#include "marigoldquay/quota/workspace_homes.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/strip.h"
+#include "marigoldquay/core/logger.h"
+#include "marigoldquay/core/metrics.h"
+#include "marigoldquay/core/rendezvous.h"
+#include "workspace_home.h"
+
+namespace marigoldquay {
+namespace {
+
+constexpr absl::string_view kKeyPrefix = "workspace/";
+// A role whose former holder was removed is taken 2.5 s and a margin of 10% after the record was
+// read; Refresh sees the new epoch at most 100 ms late, which only makes this later.
+constexpr absl::Duration kTakeoverWait = absl::Milliseconds(2750);
+constexpr std::size_t kMaxReleased = 64;
+constexpr std::size_t kMaxAcceptedEarly = 10'000;
+
+const Logger& Log() {
+  static const Logger& logger = *new Logger("quota");
+  return logger;
+}
+
+Counter& Grants(absl::string_view result) {
+  return MetricsRegistry::Global().counter("marigoldquay_home_reserves_total",
+                                           "Reservations answered as home, by result",
+                                           {{"result", std::string(result)}});
+}
+
+std::uint32_t ToMillis(absl::Duration duration) {
+  // Rounded up: a retry after a duration rounded down would come too early. At most a day.
+  const auto capped = std::min(duration, absl::Hours(24));
+  return static_cast<std::uint32_t>(absl::ToInt64Milliseconds(capped + absl::Microseconds(999)));
+}
+
+protocol::ReserveReplyT ToWire(const ReserveAnswer& answer) {
+  protocol::ReserveReplyT reply;
+  reply.reservation = answer.number;
+  reply.retry_after_ms = ToMillis(answer.retry_after);
+  switch (answer.status) {
+    case ReserveStatus::kGranted:
+      reply.status = protocol::ReserveStatus::Granted;
+      break;
+    case ReserveStatus::kRefused:
+      reply.status = protocol::ReserveStatus::Refused;
+      break;
+    case ReserveStatus::kTooLarge:
+      reply.status = protocol::ReserveStatus::TooLarge;
+      break;
+    case ReserveStatus::kNotOwner:
+    case ReserveStatus::kNotReady:  // Told apart by retry_after_ms above 0.
+      reply.status = protocol::ReserveStatus::NotOwner;
+      break;
+  }
+  return reply;
+}
+
+}  // namespace
+
+std::string WorkspaceKey(absl::string_view workspace) {
+  return absl::StrCat(kKeyPrefix, workspace);
+}
+
+WorkspaceHomes::WorkspaceHomes(const MemberView& members, const Clock& clock)
+    // A random first number, so that a settlement meant for a former instance finds nothing here.
+    : members_(members), clock_(clock), next_number_((RandomId() >> 1) | 1) {}
+
+WorkspaceHomes::~WorkspaceHomes() = default;
+
+void WorkspaceHomes::Register(RpcRegistry& registry) {
+  RegisterHandler<protocol::ReserveRequestT>(
+      registry, protocol::MessageType::Reserve,
+      [this](const protocol::ReserveRequestT& request,
+             const RpcCall& call) -> Result<protocol::ReserveReplyT> {
+        if (request.tokens < 0) {
+          return Fail(ErrorCode::kInvalidArgument, "reserve tokens", call.peer,
+                      absl::StrCat("tokens is ", request.tokens, ", allowed from 0"));
+        }
+        return ToWire(Reserve(request.workspace, request.request_id, request.tokens));
+      });
+  RegisterHandler<protocol::SettleRequestT>(
+      registry, protocol::MessageType::Settle,
+      [this](const protocol::SettleRequestT& request, const RpcCall&) -> Result<protocol::AckT> {
+        Settle(request.workspace, request.reservation, request.unused_tokens);
+        return protocol::AckT{};
+      });
+  RegisterHandler<protocol::AllowanceRequestT>(
+      registry, protocol::MessageType::Allowance,
+      [this](const protocol::AllowanceRequestT& request,
+             const RpcCall&) -> Result<protocol::AllowanceReplyT> {
+        const auto answer =
+            Allow(FromWire(*request.sender), request.workspace, request.held, request.wanted);
+        protocol::AllowanceReplyT reply;
+        reply.granted = answer.total;
+        reply.ttl_ms = ToMillis(answer.life);
+        return reply;
+      });
+}
+
+void WorkspaceHomes::SetWorkspaces(std::map<WorkspaceId, WorkspaceLimits, std::less<>> workspaces) {
+  const absl::MutexLock lock(&mutex_);
+  workspaces_ = std::move(workspaces);
+  scan_all_ = true;
+  const absl::Time now = clock_.Now();
+  for (auto& [id, home] : homes_) {
+    if (const auto found = workspaces_.find(id); found != workspaces_.end()) {
+      home->SetLimits(found->second, now);
+    }
+  }
+}
+
+std::vector<WorkspaceId> WorkspaceHomes::BeginRefresh(const Instance& self, Offset epoch,
+                                                      bool& scan_all) {
+  const absl::MutexLock lock(&mutex_);
+  const absl::Time now = clock_.Now();
+  if (self != seen_self_) {
+    // A removed instance has lost its roles, and others may have granted since.
+    std::erase_if(homes_, [&](const auto& entry) { return entry.second->holder() != self; });
+    accepted_early_.clear();
+  }
+  if (self != seen_self_ || epoch != seen_epoch_) {
+    seen_self_ = self;
+    seen_epoch_ = epoch;
+    epoch_since_ = now;
+    scan_all_ = true;
+  }
+  std::erase_if(homes_, [&](const auto& entry) {
+    // The state of a withdrawn workspace is kept until it is full again, so that a workspace that
+    // is created anew under the same name cannot spend its burst twice.
+    entry.second->UpdateCapacity(now);
+    return !workspaces_.contains(entry.first) && entry.second->Unused(now);
+  });
+  scan_all = std::exchange(scan_all_, false);
+  if (!scan_all) return pending_;
+  std::vector<WorkspaceId> all;
+  for (const auto& [id, _] : workspaces_) {
+    if (!homes_.contains(id)) all.push_back(id);
+  }
+  return all;
+}
+
+void WorkspaceHomes::Refresh() {
+  // Read before the role is checked, so that a release in between has at least this epoch.
+  const Offset epoch = members_.epoch();
+  const Instance self = members_.self();
+  bool scan_all = false;
+  const auto candidates = BeginRefresh(self, epoch, scan_all);
+  std::vector<WorkspaceId> still_pending;
+  for (const auto& workspace : candidates) {
+    const std::string key = WorkspaceKey(workspace);
+    if (scan_all) {
+      const auto owner = members_.OwnerOf(key);
+      if (!owner || owner->instance != self) continue;
+    }
+    if (Holds(workspace, self)) {
+      Create(workspace, self, epoch);
+    } else {
+      still_pending.push_back(workspace);
+    }
+  }
+  const absl::MutexLock lock(&mutex_);
+  pending_ = std::move(still_pending);
+}
+
+bool WorkspaceHomes::Holds(absl::string_view workspace, const Instance& self) const {
+  return members_.HoldsExclusively(WorkspaceKey(workspace)) && members_.self() == self;
+}
+
+void WorkspaceHomes::Create(const WorkspaceId& workspace, const Instance& self, Offset epoch) {
+  const absl::MutexLock lock(&mutex_);
+  const auto limits = workspaces_.find(workspace);
+  if (limits == workspaces_.end() || homes_.contains(workspace)) return;
+  if (IsReleased(WorkspaceKey(workspace), epoch)) return;
+  const absl::Time now = clock_.Now();
+  // While the epoch lasts, a role is either taken over within kTakeoverWait, or handed over by a
+  // member that mentions every workspace for which it has granted anything.
+  const absl::Time since = seen_epoch_ == epoch ? std::min(now, epoch_since_ + kTakeoverWait) : now;
+  auto home = std::make_unique<WorkspaceHome>(limits->second, self, since);
+  if (const auto early = accepted_early_.find(workspace); early != accepted_early_.end()) {
+    home = std::make_unique<WorkspaceHome>(limits->second, self, now);
+    home->AcceptBalance(early->second, now);
+    accepted_early_.erase(early);
+  }
+  Log().Info("this process is the home of workspace ", workspace, ", starting with ",
+             home->Level(now), " tokens");
+  homes_.emplace(workspace, std::move(home));
+}
+
+WorkspaceHome* WorkspaceHomes::Find(absl::string_view workspace, const Instance& self) {
+  const auto found = homes_.find(workspace);
+  if (found == homes_.end() || found->second->holder() != self) return nullptr;
+  return workspaces_.contains(workspace) ? found->second.get() : nullptr;
+}
+
+ReserveAnswer WorkspaceHomes::Reserve(absl::string_view workspace, absl::string_view request_id,
+                                      TokenCount tokens) {
+  static Counter& granted = Grants("granted");
+  static Counter& refused = Grants("refused");
+  const Instance self = members_.self();
+  if (tokens < 0 || !Holds(workspace, self)) return {};
+  ReserveAnswer answer;
+  {
+    const absl::MutexLock lock(&mutex_);
+    auto* home = Find(workspace, self);
+    if (home == nullptr) return {};
+    answer = home->Reserve(request_id, tokens, next_number_, clock_.Now());
+  }
+  // Checked again, because this process may have been suspended since the first check; a grant
+  // that is not passed on only loses tokens.
+  if (!Holds(workspace, self)) return {};
+  (answer.status == ReserveStatus::kGranted ? granted : refused).Increment();
+  return answer;
+}
+
+void WorkspaceHomes::Settle(absl::string_view workspace, std::uint64_t number, TokenCount unused) {
+  const Instance self = members_.self();
+  const absl::MutexLock lock(&mutex_);
+  if (auto* home = Find(workspace, self)) home->Settle(number, unused, clock_.Now());
+}
+
+AllowanceAnswer WorkspaceHomes::Allow(const Instance& sender, absl::string_view workspace,
+                                      TokenCount held, TokenCount wanted) {
+  const Instance self = members_.self();
+  if (!members_.IsMember(sender) || !Holds(workspace, self)) return {};
+  AllowanceAnswer answer;
+  {
+    const absl::MutexLock lock(&mutex_);
+    auto* home = Find(workspace, self);
+    if (home == nullptr) return {};
+    answer = home->Allow(sender, held, wanted, clock_.Now());
+  }
+  return Holds(workspace, self) ? answer : AllowanceAnswer{};
+}
+
+std::vector<std::pair<std::string, std::int64_t>> WorkspaceHomes::Release(
+    const Instance& to, Offset epoch, const std::vector<VmId>& members_after) {
+  const absl::MutexLock lock(&mutex_);
+  for (const auto& released : released_) {
+    if (released.to == to && released.epoch == epoch) return released.balances;
+  }
+  Released release{to, epoch, members_after, {}};
+  std::set<std::string> earlier;
+  for (const auto& released : released_) {
+    if (released.to != to) continue;
+    for (const auto& [key, _] : released.balances) earlier.insert(key);
+  }
+  const absl::Time now = clock_.Now();
+  for (auto it = homes_.begin(); it != homes_.end();) {
+    std::string key = WorkspaceKey(it->first);
+    if (FirstByRendezvous(key, members_after) != to.vm) {
+      ++it;
+      continue;
+    }
+    earlier.erase(key);
+    release.balances.emplace_back(std::move(key), it->second->Level(now));
+    it = homes_.erase(it);
+  }
+  // The answer that carried these balances may have been lost. Mentioned without a balance, they
+  // start empty at the new home and not with what would have accrued since the epoch began.
+  for (const auto& key : earlier) release.balances.emplace_back(key, 0);
+  if (released_.size() >= kMaxReleased) released_.erase(released_.begin());
+  released_.push_back(release);
+  Log().Info("handed ", release.balances.size(), " workspaces over to ", to.ToString(),
+             " at epoch ", epoch);
+  return release.balances;
+}
+
+bool WorkspaceHomes::IsReleased(const std::string& key, Offset epoch) const {
+  return std::any_of(released_.begin(), released_.end(), [&](const Released& released) {
+    return released.epoch >= epoch &&
+           FirstByRendezvous(key, released.members_after) == released.to.vm;
+  });
+}
+
+void WorkspaceHomes::Accept(const std::vector<std::pair<std::string, std::int64_t>>& balances) {
+  const Instance self = members_.self();
+  const absl::MutexLock lock(&mutex_);
+  const absl::Time now = clock_.Now();
+  for (const auto& [key, balance] : balances) {
+    absl::string_view workspace = key;
+    if (!absl::ConsumePrefix(&workspace, kKeyPrefix)) continue;
+    if (const auto found = homes_.find(workspace);
+        found != homes_.end() && found->second->holder() == self) {
+      found->second->AcceptBalance(balance, now);
+      continue;
+    }
+    if (const auto limits = workspaces_.find(workspace); limits != workspaces_.end()) {
+      auto home = std::make_unique<WorkspaceHome>(limits->second, self, now);
+      home->AcceptBalance(balance, now);
+      homes_[WorkspaceId(workspace)] = std::move(home);
+    } else if (accepted_early_.size() < kMaxAcceptedEarly) {
+      accepted_early_[WorkspaceId(workspace)] = balance;
+    }
+  }
+}
+
+std::optional<TokenCount> WorkspaceHomes::Level(absl::string_view workspace) const {
+  const absl::MutexLock lock(&mutex_);
+  const auto found = homes_.find(workspace);
+  if (found == homes_.end()) return std::nullopt;
+  return found->second->Level(clock_.Now());
+}
+
+std::size_t WorkspaceHomes::size() const {
+  const absl::MutexLock lock(&mutex_);
+  return homes_.size();
+}
+
+}  // namespace marigoldquay
