--- a/packages/quota/src/quota_service.cc
+++ b/packages/quota/src/quota_service.cc
@@ -2,7 +2,6 @@
 #include "marigoldquay/quota/quota_service.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 #include <vector>
 
@@ -37,6 +36,10 @@
   return gauge;
 }
 
+bool Contains(const std::vector<Instance>& instances, const Instance& instance) {
+  return std::find(instances.begin(), instances.end(), instance) != instances.end();
+}
+
 ReserveAnswer FromWire(const protocol::ReserveReplyT& reply) {
   ReserveAnswer answer;
   answer.number = reply.reservation;
@@ -263,11 +266,12 @@
     }
     tasks_ = std::move(later);
   }
-  std::set<Instance> failed;  // Tried once per round, so that a dead home does not hold up others.
+  std::vector<Instance>
+      failed;  // Tried once per round, so that a dead home does not hold up others.
   for (auto& task : due) {
-    if (!failed.contains(task.home)) {
+    if (!Contains(failed, task.home)) {
       if (SendTask(task) == Attempt::kDone) continue;
-      failed.insert(task.home);
+      failed.push_back(task.home);
     }
     if (++task.attempts >= options_.max_attempts) {
       DroppedSettlements().Increment();
@@ -315,14 +319,14 @@
     const absl::MutexLock lock(&allowances_mutex_);
     due = allowances_->TakeDue(clock_.Now());
   }
-  std::set<Instance> failed;
+  std::vector<Instance> failed;
   for (const auto& renewal : due) {
     const std::string key = WorkspaceKey(renewal.workspace);
     std::optional<AllowanceAnswer> answer;
     const auto home = members_.OwnerOf(key);
-    if (home && !failed.contains(home->instance)) {
+    if (home && !Contains(failed, home->instance)) {
       answer = AskAllowance(*home, renewal.workspace, renewal.held, renewal.spent, renewal.wanted);
-      if (!answer) failed.insert(home->instance);
+      if (!answer) failed.push_back(home->instance);
     }
     const absl::MutexLock lock(&allowances_mutex_);
     if (answer && answer->life > absl::ZeroDuration()) {
--- a/packages/quota/src/workspace_home.cc
+++ b/packages/quota/src/workspace_home.cc
@@ -86,7 +86,7 @@
   // Allowances of a former home may still be out; the sender keeps its own until it expires.
   if (InStartPeriod(now)) return {};
   UpdateCapacity(now);
-  auto& mine = allowances_[sender];
+  auto& mine = allowances_[sender.ToString()];
   mine.wanted = std::max<TokenCount>(wanted, 0);
   TokenCount wanted_by_all = 0;
   for (const auto& [_, totals] : allowances_) wanted_by_all += totals.wanted;
--- a/packages/quota/src/workspace_home.h
+++ b/packages/quota/src/workspace_home.h
@@ -88,7 +88,7 @@
   // Ordered by number and age.
   std::deque<Taken> taken_;
   std::unordered_map<std::string, std::uint64_t> by_request_;  // Numbers, by request id.
-  std::map<Instance, Totals> allowances_;
+  std::map<std::string, Totals> allowances_;                   // By instance in text form.
 };
 
 }  // namespace marigoldquay
