Measure decode speed from first to last token

Cause: the scheduler takes decode_duration from the first to the last token; the runner measured from the end of the prefill, which counts the transfer as decoding. Also drops the weak Configuration constructor of the scheduling tests, as the config package is linked now.

--- a/packages/exchange/src/completion_runner.cc
+++ b/packages/exchange/src/completion_runner.cc
@@ -208,13 +208,15 @@
     decode.max_tokens = request_.max_tokens;
     decode.from_token = tokens_;
     const auto first_index = tokens_;
+    attempt_has_token_ = false;
+    attempt_first_token_ = last_token_ = services_.clock.Now();
     auto result = Capture<DecodeResult>([&] {
       return services_.engines.Decode(decode_server, decode, kDecodeSilence, cancelled_,
                                       [&](std::int64_t index, absl::string_view token) {
                                         return TakeToken(placement, index, token);
                                       });
     });
-    const auto decode_time = services_.clock.Now() - prefill_done_;
+    const auto decode_time = last_token_ - attempt_first_token_;
     const auto produced = tokens_ - first_index;
     if (auto* done = std::get_if<DecodeResult>(&result)) {
       services_.scheduler.Release(placement, PlacementEnd::kDone, produced, decode_time);
@@ -243,6 +245,10 @@
   bool TakeToken(const Placement& placement, std::int64_t index, absl::string_view token) {
     if (index != tokens_) return false;
     const auto now = services_.clock.Now();
+    if (!attempt_has_token_) {
+      attempt_has_token_ = true;
+      attempt_first_token_ = now;
+    }
     if (tokens_ == 0) {
       first_token_ = now;
       services_.scheduler.FirstToken(placement, now - prefill_done_);
@@ -294,6 +300,9 @@
   std::set<BackendServerId> excluded_;
   absl::Time prefill_done_;
   absl::Time first_token_;
+  // First token of the current placement, which is not the first of a resumed stream.
+  bool attempt_has_token_ = false;
+  absl::Time attempt_first_token_;
   absl::Time last_token_;
   // Tokens delivered to the outcome; the index of the next one.
   std::int64_t tokens_ = 0;
--- a/packages/scheduling/tests/fakes.h
+++ b/packages/scheduling/tests/fakes.h
@@ -21,17 +21,6 @@
 
 namespace marigoldquay {
 
-// Weak, so that the config package's definition replaces it wherever both are linked.
-__attribute__((weak))
-Configuration::Configuration(Offset revision, Workspaces workspaces, Keys keys, Pools pools,
-                             BackendServers backend_servers, Routes routes)
-    : revision_(revision),
-      workspaces_(std::move(workspaces)),
-      keys_(std::move(keys)),
-      pools_(std::move(pools)),
-      backend_servers_(std::move(backend_servers)),
-      routes_(std::move(routes)) {}
-
 namespace testing {
 
 class FakeConfigView final : public ConfigView {
