--- a/tests/fakes/fake_engine.cc
+++ b/tests/fakes/fake_engine.cc
@@ -235,9 +235,9 @@
     const bool hit = found != prefixes_.end();
     if (hit) prefixes_.erase(found);
     prefixes_.push_front(prefix);
-    if (!hit) AddEvent("stored", prefix);
+    if (!hit) AddEvent("add", prefix);
     if (static_cast<int>(prefixes_.size()) > FLAGS_prefix_cache) {
-      AddEvent("evicted", prefixes_.back());
+      AddEvent("evict", prefixes_.back());
       prefixes_.pop_back();
     }
     return hit ? kPrefixTokens : 0;
