--- a/packages/claims/src/claim_service.cc
+++ b/packages/claims/src/claim_service.cc
@@ -2,7 +2,10 @@
 #include "marigoldquay/claims/claim_service.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <optional>
 #include <utility>
+#include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
@@ -21,7 +24,7 @@
 constexpr auto kRetryPause = absl::Milliseconds(50);
 // How long an unreachable owner is waited for before "not run", when nothing was sent.
 constexpr auto kUnreachableWait = absl::Seconds(2);
-constexpr auto kCloseInterval = absl::Seconds(5);
+constexpr auto kOwnershipInterval = absl::Milliseconds(500);
 
 std::string KeyDigest(const OnceRequest& request) {
   return Sha256Hex(
@@ -63,7 +66,12 @@
 
 void ClaimService::Start() {
   closer_ = std::thread([this] {
-    while (!stopping_.WaitForNotificationWithTimeout(kCloseInterval)) CloseIdleShards();
+    // An owned shard is followed before the first request comes, so that there is evidence of what
+    // has not run when the log stops answering.
+    do {
+      OpenOwnedShards();
+      CloseIdleShards();
+    } while (!stopping_.WaitForNotificationWithTimeout(kOwnershipInterval));
   });
 }
 
@@ -99,12 +107,30 @@
   return shard;
 }
 
+ClaimService::ShardPtr ClaimService::FindShard(int number) const {
+  const std::scoped_lock lock(mutex_);
+  const auto found = shards_.find(number);
+  return found == shards_.end() ? nullptr : found->second;
+}
+
+bool ClaimService::Owns(int number) const {
+  const auto owner = members_.OwnerOf(ShardRole(number));
+  return owner && owner->instance == members_.self();
+}
+
+void ClaimService::OpenOwnedShards() {
+  for (int number = 0; number < kClaimShards; ++number) {
+    if (Owns(number)) OpenShard(number);
+  }
+}
+
 void ClaimService::CloseIdleShards() {
   std::vector<ShardPtr> closed;
   const std::scoped_lock lock(mutex_);
   for (auto it = shards_.begin(); it != shards_.end();) {
     // A call that still uses the shard keeps a reference and would be missed by its idle check.
-    if (it->second.use_count() == 1 && it->second->idle(clock_.Now())) {
+    if (it->second.use_count() == 1 && it->second->idle(clock_.Now()) && !Owns(it->first)) {
+      closed_at_[it->first] = clock_.Now();
       closed.push_back(std::move(it->second));
       it = shards_.erase(it);
     } else {
@@ -156,17 +182,36 @@
     }
     absl::SleepFor(kRetryPause);
   }
-  return MakeResult(sent ? OnceOutcome::kUnknown : OnceOutcome::kNotRun, last_error,
-                    options_.retry_after);
+  if (sent) return MakeResult(OnceOutcome::kUnknown, last_error, absl::ZeroDuration());
+  // Only an owner can tell whether an earlier request of the key has run, and any VM can be one.
+  return RunHere(request, deadline);
+}
+
+protocol::RunOnceReplyT ClaimService::HandleLookup(const std::string& key, absl::Time deadline) {
+  const int number = ShardOf(key);
+  const auto shard = FindShard(number);
+  // Read before the lookup, as the shard may catch up during it.
+  const bool knows_all = shard && shard->caught_up();
+  if (const auto known = shard ? shard->Lookup(key, deadline) : std::nullopt) {
+    return internal::ToWireReply(*known);
+  }
+  protocol::RunOnceReplyT reply;
+  reply.outcome = protocol::RunOutcome::NoClaim;
+  reply.retry_after_ms = internal::kNeverRan;
+  const std::scoped_lock lock(mutex_);
+  const auto closed = closed_at_.find(number);
+  if (!knows_all && closed != closed_at_.end()) {
+    const auto age = absl::ToInt64Milliseconds(clock_.Now() - closed->second);
+    reply.retry_after_ms = static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>(age, 0, std::int64_t{internal::kNeverRan} - 1));
+  }
+  return reply;
 }
 
 protocol::RunOnceReplyT ClaimService::HandleRunOnce(const protocol::RunOnceRequestT& wire,
                                                     absl::Time deadline) {
-  if (wire.lookup_only) {
-    // The sender knows only the digest, which is all that the log holds.
-    const auto& key = wire.idempotency_key;
-    return internal::ToWireReply(OpenShard(ShardOf(key))->Lookup(key, deadline));
-  }
+  // A lookup carries the digest for the key, which is all that the log holds.
+  if (wire.lookup_only) return HandleLookup(wire.idempotency_key, deadline);
   return internal::ToWireReply(RunHere(internal::FromWireRequest(wire), deadline));
 }
 
--- a/packages/claims/src/claim_shard.cc
+++ b/packages/claims/src/claim_shard.cc
@@ -83,11 +83,12 @@
 ClaimShard::ClaimShard(int number, ShardContext context)
     : stream_(absl::StrCat("claims-", number)),
       context_(context),
-      table_(context.options.window),
+      table_(context.options.window, context.options.max_body_bytes),
       last_use_(context.clock.Now()),
       appender_([this] { AppendLoop(); }) {
   TailerOptions options;
   options.stream = stream_;
+  options.wait = context_.options.tail_wait;
   tailer_ = std::make_unique<StreamTailer>(options, context_.log, context_.clock, *this);
 }
 
@@ -104,32 +105,34 @@
 OnceResult ClaimShard::Run(const OnceRequest& request, const std::string& key,
                            absl::Time deadline) {
   Lock lock(mutex_);
-  last_use_ = context_.clock.Now();
   const auto digest = RequestDigest(request);
-  if (!WaitFor(lock, std::min(deadline, last_use_ + context_.options.claim_timeout),
-               [&] { return tail_read_; })) {
-    return NotRun("the log cannot be read");
-  }
-  if (const auto found = active_.find(key); found != active_.end()) {
+  const auto came_at = context_.clock.Now();
+  while (true) {
+    last_use_ = context_.clock.Now();
+    const auto found = active_.find(key);
+    if (found == active_.end()) break;
     const auto run = found->second;
     if (run->request_digest != digest) return {OnceOutcome::kBodyMismatch, 0, {}, "", {}, ""};
-    return Follow(lock, run, deadline);
+    if (auto result = Follow(lock, run, came_at, deadline)) return *result;
   }
-  if (active_.size() >= kMaxActive) return NotRun("too many requests run at once");
   const auto run = std::make_shared<ActiveRun>();
   run->request_digest = digest;
+  run->came_at = came_at;
   active_[key] = run;
-  auto result = Lead(lock, *run, request, key, deadline);
-  run->result = result;
+  run->result = Lead(lock, *run, request, key, deadline);
   // A run whose outcome is not yet in the table stays, so that later requests join it.
   if (!unconfirmed_.contains(run->nonce) || voided_.contains(run->nonce)) active_.erase(key);
   changed_.notify_all();
-  return result;
+  return *run->result;
 }
 
 OnceResult ClaimShard::Lead(Lock& lock, ActiveRun& run, const OnceRequest& request,
                             const std::string& key, absl::Time deadline) {
   const auto give_up = std::min(deadline, context_.clock.Now() + context_.options.claim_timeout);
+  // The table alone decides nothing before the stream has been read to its tail once.
+  if (!WaitFor(lock, give_up, [&] { return tail_read_; })) {
+    return GiveUp(lock, run, key, "the log cannot be read");
+  }
   while (true) {
     const auto* claim = table_.Find(key);
     const bool own =
@@ -140,7 +143,15 @@
         abandoned_[run.nonce] = {key, context_.clock.Now()};
       }
       run.nonce = claim->nonce;
-      return Dispatch(lock, request, key, run.nonce, deadline);
+      if (deadline - context_.clock.Now() < context_.options.min_dispatch_time) {
+        return GiveUp(lock, run, key, "too little time is left");
+      }
+      // Not needed for a single run: without it, a VM that was removed while it was suspended could
+      // run a key after all members have said that they did not.
+      if (!context_.members.LeaseValid()) {
+        return GiveUp(lock, run, key, "this VM is no longer a member");
+      }
+      return Dispatch(lock, run, request, key, deadline);
     }
     if (claim != nullptr && !voided_.contains(claim->nonce)) {
       auto result = FromTable(lock, key, run.request_digest, deadline);
@@ -150,6 +161,9 @@
         return *result;
       }
     } else if (claim == nullptr && run.nonce.empty()) {
+      if (active_.size() > kMaxActive || table_.size() >= context_.options.max_keys) {
+        return GiveUp(lock, run, key, "too many requests run or are remembered");
+      }
       run.nonce = RandomHexId();
       auto record = MakeRecord(ClaimRecordKind::kClaim, key, run.nonce);
       record.request_digest = run.request_digest;
@@ -158,19 +172,23 @@
     }
     const auto seen = next_;
     if (!WaitFor(lock, give_up, [&] { return next_ != seen; })) {
-      return GiveUp(run, key, "the log did not record the claim in time");
+      return GiveUp(lock, run, key, "the log did not record the claim in time");
     }
   }
 }
 
-OnceResult ClaimShard::Dispatch(Lock& lock, const OnceRequest& request, const std::string& key,
-                                const std::string& nonce, absl::Time deadline) {
+OnceResult ClaimShard::Dispatch(Lock& lock, ActiveRun& run, const OnceRequest& request,
+                                const std::string& key, absl::Time deadline) {
+  const std::string nonce = run.nonce;
+  run.dispatched = true;
   abandoned_.erase(nonce);
   lock.unlock();
   auto dispatched = context_.dispatcher.Dispatch(request, deadline - context_.clock.Now());
   lock.lock();
   if (dispatched.outcome == DispatchOutcome::kNotSent) {
     StartVoid(nonce, key);
+    // Until the void is in the log, the claim keeps all others from running the key.
+    run.not_run_by = context_.clock.Now();
     return NotRun("no backend server can be reached");
   }
   auto record = MakeRecord(ClaimRecordKind::kOutcome, key, nonce);
@@ -188,11 +206,15 @@
   return result;
 }
 
-OnceResult ClaimShard::Follow(Lock& lock, const ActiveRunPtr& run, absl::Time deadline) {
+std::optional<OnceResult> ClaimShard::Follow(Lock& lock, const ActiveRunPtr& run,
+                                             absl::Time came_at, absl::Time deadline) {
   if (!WaitFor(lock, deadline, [&] { return run->result.has_value(); })) {
     return Unknown("the request is still running");
   }
-  return *run->result;
+  const bool covered = run->result->outcome != OnceOutcome::kNotRun || run->not_run_by >= came_at;
+  if (covered) return run->result;
+  if (context_.clock.Now() < deadline) return std::nullopt;
+  return Unknown("it is not known whether another VM has run the request");
 }
 
 std::optional<OnceResult> ClaimShard::FromTable(Lock& lock, const std::string& key,
@@ -204,58 +226,97 @@
   if (claim.request_digest != request_digest) {
     return OnceResult{OnceOutcome::kBodyMismatch, 0, {}, "", {}, ""};
   }
-  if (claim.outcome) return FromOutcome(*claim.outcome);
+  if (claim.outcome) return Recorded(lock, claim, deadline);
   if (claim.holder == context_.members.self() || !context_.members.IsMember(claim.holder)) {
     return Unknown("the VM that ran the request has failed");
   }
   return AskHolder(lock, claim, key, deadline);
 }
 
-OnceResult ClaimShard::AskHolder(Lock& lock, const ClaimState& claim, const std::string& key,
-                                 absl::Time deadline) {
+OnceResult ClaimShard::Recorded(Lock& lock, const ClaimState& claim, absl::Time deadline) {
+  if (!claim.body_in_log) return FromOutcome(*claim.outcome);
+  lock.unlock();
+  const auto left = std::max(deadline - context_.clock.Now(), absl::ZeroDuration());
+  const auto read = Capture<LogPage>([&] {
+    return context_.log.Read(stream_, claim.outcome_offset, 1, absl::ZeroDuration(),
+                             std::min(left, context_.options.append_timeout));
+  });
+  lock.lock();
+  const auto* page = std::get_if<LogPage>(&read);
+  if (page != nullptr && !page->records.empty() &&
+      page->records.front().offset == claim.outcome_offset) {
+    int malformed = 0;
+    for (const auto& record : ParseClaimBatch(page->records.front().data, malformed)) {
+      const bool found = record.kind == ClaimRecordKind::kOutcome && record.nonce == claim.nonce;
+      if (found) return FromOutcome(record.outcome);
+    }
+  }
+  return Unknown(absl::StrCat("the request has run and was answered with status ",
+                              claim.outcome->status, "; its body cannot be read from the log"));
+}
+
+std::optional<OnceResult> ClaimShard::AskHolder(Lock& lock, const ClaimState& claim,
+                                                const std::string& key, absl::Time deadline) {
   const auto holder = context_.members.FindMember(claim.holder.vm);
   if (!holder) return Unknown("the VM that ran the request has failed");
-  protocol::RunOnceRequestT wire;
-  wire.sender = ToWire(context_.members.self());
-  wire.idempotency_key = key;
-  wire.lookup_only = true;
   CallOptions options;
   options.timeout = deadline - context_.clock.Now();
   options.cancelled = [&] { return !context_.members.IsMember(claim.holder); };
   lock.unlock();
   auto result = HandleError(
-      [&]() -> Result<OnceResult> {
+      [&]() -> Result<std::optional<OnceResult>> {
         BOOST_LEAF_AUTO(reply, CallPeer<protocol::RunOnceReplyT>(
                                    context_.rpc, holder->inner_address,
-                                   protocol::MessageType::RunOnce, wire, options));
-        return FromWireReply(reply);
+                                   protocol::MessageType::RunOnce, LookupRequest(key), options));
+        // Its void is on the way.
+        if (reply.outcome == protocol::RunOutcome::NoClaim) return std::optional<OnceResult>();
+        return std::optional(FromWireReply(reply));
       },
       [](const Error& error) {
-        return Unknown(
-            absl::StrCat("the VM that runs the request did not answer: ", error.ToString()));
+        return std::optional(Unknown(
+            absl::StrCat("the VM that runs the request did not answer: ", error.ToString())));
       });
   lock.lock();
   return result;
 }
 
-OnceResult ClaimShard::Lookup(const std::string& key, absl::Time deadline) {
+protocol::RunOnceRequestT ClaimShard::LookupRequest(const std::string& key) const {
+  protocol::RunOnceRequestT wire;
+  wire.sender = ToWire(context_.members.self());
+  wire.idempotency_key = key;
+  wire.lookup_only = true;
+  return wire;
+}
+
+std::optional<OnceResult> ClaimShard::Lookup(const std::string& key, absl::Time deadline) {
   Lock lock(mutex_);
-  last_use_ = context_.clock.Now();
   if (const auto found = active_.find(key); found != active_.end()) {
     const auto run = found->second;
-    return Follow(lock, run, deadline);
+    if (!run->dispatched) return std::nullopt;
+    return Follow(lock, run, /*came_at=*/absl::InfinitePast(), deadline);
   }
-  WaitFor(lock, deadline, [&] { return tail_read_; });
   const auto* claim = table_.Find(key);
-  if (claim == nullptr) return Unknown("the claim is not known at its holder");
-  if (claim->outcome) return FromOutcome(*claim->outcome);
-  if (abandoned_.contains(claim->nonce) || voided_.contains(claim->nonce)) {
-    return NotRun("the claim was given up");
+  if (claim == nullptr || voided_.contains(claim->nonce)) return std::nullopt;
+  if (claim->outcome) {
+    const auto copy = *claim;
+    return Recorded(lock, copy, deadline);
+  }
+  if (abandoned_.contains(claim->nonce)) return NotRun("the claim was given up");
+  if (claim->holder == context_.members.self()) {
+    return Unknown("the outcome is not known at the VM that ran the request");
   }
-  return Unknown("the claim is not known at its holder");
+  // A living holder is asked itself.
+  if (context_.members.IsMember(claim->holder)) return std::nullopt;
+  return Unknown("the VM that ran the request has failed");
 }
 
-OnceResult ClaimShard::GiveUp(const ActiveRun& run, const std::string& key, std::string message) {
+bool ClaimShard::caught_up() const {
+  const std::scoped_lock lock(mutex_);
+  return tail_read_;
+}
+
+OnceResult ClaimShard::GiveUp(Lock& lock, ActiveRun& run, const std::string& key,
+                              std::string message) {
   if (!run.nonce.empty()) {
     // A claim that was never sent cannot land.
     const auto queued = std::find_if(queue_.begin(), queue_.end(), [&](const ClaimRecord& record) {
@@ -265,7 +326,57 @@
     abandoned_[run.nonce] = {key, context_.clock.Now()};
   }
   Log().Info("gave up a request in ", stream_, ": ", message);
-  return NotRun(std::move(message));
+  if (!ClaimedElsewhere(key) && evidence_ >= run.came_at) run.not_run_by = evidence_;
+  if (run.not_run_by == absl::InfinitePast() && !ClaimedHere(key) && !ClaimedElsewhere(key)) {
+    const auto asked_at = context_.clock.Now();
+    if (NoMemberRan(lock, key) && !ClaimedElsewhere(key)) run.not_run_by = asked_at;
+  }
+  if (ClaimedHere(key)) run.not_run_by = context_.clock.Now();
+  if (run.not_run_by != absl::InfinitePast()) return NotRun(std::move(message));
+  return Unknown(absl::StrCat(message, "; an earlier request of the key may have run"));
+}
+
+bool ClaimShard::ClaimedHere(const std::string& key) const {
+  const auto* claim = table_.Find(key);
+  return claim != nullptr && abandoned_.contains(claim->nonce);
+}
+
+bool ClaimShard::ClaimedElsewhere(const std::string& key) const {
+  const auto* claim = table_.Find(key);
+  return claim != nullptr && !abandoned_.contains(claim->nonce) && !voided_.contains(claim->nonce);
+}
+
+bool ClaimShard::NoMemberRan(Lock& lock, const std::string& key) {
+  // Who may have run the key without it being in the table is still a member, as long as nobody
+  // has left since the last evidence.
+  const auto evidence = evidence_;
+  const auto epoch = evidence_epoch_;
+  if (evidence == absl::InfinitePast()) return false;
+  lock.unlock();
+  const auto members = context_.members.members();
+  const auto self = context_.members.self();
+  const auto deadline = context_.clock.Now() + context_.options.ask_all_timeout;
+  bool none = context_.members.epoch() == epoch;
+  for (const auto& member : members) {
+    if (!none) break;
+    if (member.instance == self) continue;
+    CallOptions options;
+    options.timeout = std::min(context_.options.ask_timeout, deadline - context_.clock.Now());
+    const auto reply = Capture<protocol::RunOnceReplyT>([&] {
+      return CallPeer<protocol::RunOnceReplyT>(context_.rpc, member.inner_address,
+                                               protocol::MessageType::RunOnce, LookupRequest(key),
+                                               options);
+    });
+    const auto* answer = std::get_if<protocol::RunOnceReplyT>(&reply);
+    none = answer != nullptr &&
+           (answer->outcome == protocol::RunOutcome::NotRun ||
+            (answer->outcome == protocol::RunOutcome::NoClaim &&
+             (answer->retry_after_ms == kNeverRan ||
+              context_.clock.Now() - absl::Milliseconds(answer->retry_after_ms) < evidence)));
+  }
+  none = none && context_.members.epoch() == epoch;
+  lock.lock();
+  return none;
 }
 
 OnceResult ClaimShard::NotRun(std::string message) const {
@@ -332,26 +443,33 @@
   return next_;
 }
 
-void ClaimShard::OnPage(const LogPage& page, absl::Time /*read_sent_at*/) {
+void ClaimShard::OnPage(const LogPage& page, absl::Time read_sent_at) {
+  const auto epoch = context_.members.epoch();
   const std::scoped_lock lock(mutex_);
   int malformed = 0;
   next_ = std::max(next_, page.first_offset);
   for (const auto& record : page.records) {
     if (record.offset < next_) continue;
     next_ = record.offset + 1;
-    ApplyBatch(ParseClaimBatch(record.data, malformed));
+    ApplyBatch(ParseClaimBatch(record.data, malformed), record.offset);
   }
   if (malformed > 0) Log().Warn(malformed, " malformed records in ", stream_);
-  tail_read_ = tail_read_ || next_ >= page.next_offset;
+  if (next_ >= page.next_offset) {
+    tail_read_ = true;
+    evidence_ = read_sent_at;
+    // This read was sent after the page before it had been applied.
+    evidence_epoch_ = next_evidence_epoch_;
+  }
+  next_evidence_epoch_ = epoch;
   changed_.notify_all();
 }
 
 void ClaimShard::OnReadError(const Error& error) { Log().Debug(stream_, ": ", error.ToString()); }
 
-void ClaimShard::ApplyBatch(const std::vector<ClaimRecord>& batch) {
+void ClaimShard::ApplyBatch(const std::vector<ClaimRecord>& batch, Offset offset) {
   const auto now = context_.clock.Now();
   for (const auto& record : batch) {
-    table_.Apply(record, now);
+    table_.Apply(record, offset, now);
     if (record.kind == ClaimRecordKind::kClaim) {
       // A claim that was appended twice can land again behind its void.
       const auto* claim = table_.Find(record.key);
@@ -392,7 +510,7 @@
       // Everything before the batch has been read, so it need not be read back.
       if (*offset == next_) {
         ++next_;
-        ApplyBatch(batch);
+        ApplyBatch(batch, *offset);
         changed_.notify_all();
       }
       continue;
--- a/packages/claims/src/claim_shard.h
+++ b/packages/claims/src/claim_shard.h
@@ -4,7 +4,10 @@
 // Invariants: a request is dispatched only under a claim that this shard has
 // read back as the winning one and for which it has started no void; each nonce
 // is dispatched at most once; "not run" is answered only for a request whose
-// nonces are then abandoned, which only a later request may take up again.
+// nonces are then abandoned, which only a later request may take up again, and
+// only with evidence that nobody has run the key before the request came: an
+// undispatched winning claim of this shard, a read of the stream sent after the
+// request came, or the word of all members when the log does not answer.
 #ifndef MARIGOLDQUAY_CLAIMS_SRC_CLAIM_SHARD_H_
 #define MARIGOLDQUAY_CLAIMS_SRC_CLAIM_SHARD_H_
 
@@ -59,8 +62,11 @@
 
   /// Runs or joins the request, or returns its recorded outcome; blocks until `deadline`.
   OnceResult Run(const OnceRequest& request, const std::string& key, absl::Time deadline);
-  /// The outcome of a claim that this VM holds, for another VM that read the claim.
-  OnceResult Lookup(const std::string& key, absl::Time deadline);
+  /// What this VM knows of a run of the key, for another VM; nullopt when this VM has not run it
+  /// and its table holds no claim that only the log could tell about.
+  std::optional<OnceResult> Lookup(const std::string& key, absl::Time deadline);
+  /// Whether the whole stream has been read once.
+  bool caught_up() const;
 
   /// Whether nothing runs and no record waits, and nobody has asked for a while.
   bool idle(absl::Time now) const;
@@ -78,6 +84,11 @@
     // The claim appended for it; empty while there is none.
     std::string nonce;
     std::optional<OnceResult> result;
+    bool dispatched = false;
+    // When the request that leads the run came.
+    absl::Time came_at;
+    // With a result of "not run": nobody had run the key by then.
+    absl::Time not_run_by = absl::InfinitePast();
   };
   using ActiveRunPtr = std::shared_ptr<ActiveRun>;  // Shared by all that wait for the run.
   using Lock = std::unique_lock<std::mutex>;
@@ -94,15 +105,26 @@
 
   OnceResult Lead(Lock& lock, ActiveRun& run, const OnceRequest& request, const std::string& key,
                   absl::Time deadline);
-  OnceResult Dispatch(Lock& lock, const OnceRequest& request, const std::string& key,
-                      const std::string& nonce, absl::Time deadline);
-  OnceResult Follow(Lock& lock, const ActiveRunPtr& run, absl::Time deadline);
+  OnceResult Dispatch(Lock& lock, ActiveRun& run, const OnceRequest& request,
+                      const std::string& key, absl::Time deadline);
+  // nullopt when the run was given up and the evidence does not cover a request that came later.
+  std::optional<OnceResult> Follow(Lock& lock, const ActiveRunPtr& run, absl::Time came_at,
+                                   absl::Time deadline);
   /// What a claimed key means for a request; nullopt when this VM may run it.
   std::optional<OnceResult> FromTable(Lock& lock, const std::string& key,
                                       const std::string& request_digest, absl::Time deadline);
-  OnceResult AskHolder(Lock& lock, const ClaimState& claim, const std::string& key,
-                       absl::Time deadline);
-  OnceResult GiveUp(const ActiveRun& run, const std::string& key, std::string message);
+  std::optional<OnceResult> AskHolder(Lock& lock, const ClaimState& claim, const std::string& key,
+                                      absl::Time deadline);
+  // Adds the body of a recorded outcome that the table no longer holds.
+  OnceResult Recorded(Lock& lock, const ClaimState& claim, absl::Time deadline);
+  OnceResult GiveUp(Lock& lock, ActiveRun& run, const std::string& key, std::string message);
+  // Whether the winning claim of the key is one that this shard gave up without dispatching.
+  bool ClaimedHere(const std::string& key) const;
+  // Whether the winning claim is somebody else's, or was dispatched here.
+  bool ClaimedElsewhere(const std::string& key) const;
+  // Whether no member has run the key; asks all of them. For when the log does not answer.
+  bool NoMemberRan(Lock& lock, const std::string& key);
+  protocol::RunOnceRequestT LookupRequest(const std::string& key) const;
   OnceResult NotRun(std::string message) const;
   bool WaitFor(Lock& lock, absl::Time deadline, const std::function<bool()>& condition);
   /// Queues a record that is repeated until it is read back.
@@ -110,7 +132,7 @@
   ClaimRecord MakeRecord(ClaimRecordKind kind, const std::string& key,
                          const std::string& nonce) const;
   void StartVoid(const std::string& nonce, const std::string& key);
-  void ApplyBatch(const std::vector<ClaimRecord>& batch);
+  void ApplyBatch(const std::vector<ClaimRecord>& batch, Offset offset);
 
   void AppendLoop();
   void QueueDueRecords();
@@ -125,6 +147,11 @@
   ClaimTable table_;
   Offset next_ = 0;
   bool tail_read_ = false;
+  // Everything that was in the stream at this time has been applied.
+  absl::Time evidence_ = absl::InfinitePast();
+  // The epoch when the read that gave the evidence was sent, and the one to go with the next read.
+  Offset evidence_epoch_ = 0;
+  Offset next_evidence_epoch_ = 0;
   absl::Time last_use_;
   std::map<std::string, ActiveRunPtr> active_;
   // By nonce. Claims in abandoned_ were never dispatched and may be taken up again; those in
