--- a/packages/entry/src/caller.cc
+++ b/packages/entry/src/caller.cc
@@ -65,7 +65,8 @@
 BodyPart CompletionDelivery::NextPart() {
   if (abort_next_) return {BodyPart::Kind::kAbort, ""};
   if (end_next_) return {BodyPart::Kind::kEnd, ""};
-  auto item = Next();
+  const bool taken = pending_.token || pending_.end;
+  const auto item = taken ? std::exchange(pending_, {}) : Next();
   if (item.token) return {BodyPart::Kind::kData, format_.TokenEvent(*item.token)};
   if (item.end->complete) {
     end_next_ = true;
@@ -76,7 +77,8 @@
 }
 
 HttpServerReply CompletionDelivery::Streamed(CompletionDelivery delivery) {
-  auto first = delivery.Next();
+  delivery.pending_ = delivery.Next();
+  const auto& first = delivery.pending_;
   if (first.end && !first.end->complete) {
     return RejectionReply(FromCompletionEnd(*first.end), delivery.format_.request_id());
   }
@@ -84,23 +86,9 @@
   reply.headers = {{"Content-Type", "text/event-stream"},
                    {"Cache-Control", "no-cache"},
                    {"X-Request-Id", delivery.format_.request_id()}};
-  // std::function needs copyable state, which a reader is not.
-  auto shared = std::make_shared<CompletionDelivery>(std::move(delivery));
-  auto pending = std::make_shared<OutcomeReader::Item>(std::move(first));
-  reply.next_part = [shared, pending]() -> BodyPart {
-    if (pending->token) {
-      BodyPart part{BodyPart::Kind::kData, shared->format_.TokenEvent(*pending->token)};
-      pending->token.reset();
-      return part;
-    }
-    if (pending->end) {
-      shared->end_next_ = true;
-      BodyPart part{BodyPart::Kind::kData, shared->format_.EndEvents(*pending->end)};
-      pending->end.reset();
-      return part;
-    }
-    return shared->NextPart();
-  };
+  // Shared, because std::function needs copyable state, which a reader is not.
+  const auto shared = std::make_shared<CompletionDelivery>(std::move(delivery));
+  reply.next_part = [shared] { return shared->NextPart(); };
   return reply;
 }
 
--- a/packages/entry/src/caller.h
+++ b/packages/entry/src/caller.h
@@ -68,6 +68,8 @@
   OutcomeReader reader_;
   CompletionFormat format_;
   CallerWatch watch_;
+  // Item that was taken before the reply began.
+  OutcomeReader::Item pending_;
   // Last part of a stream that ended without completing: the connection is then broken.
   bool abort_next_ = false;
   bool end_next_ = false;
--- a/packages/exchange/include/marigoldquay/exchange/query_table.h
+++ b/packages/exchange/include/marigoldquay/exchange/query_table.h
@@ -42,7 +42,7 @@
   };
   struct Joined {
     JoinStatus status = JoinStatus::kFull;
-    std::shared_ptr<SharedOutcome> outcome;
+    SharedOutcomePtr outcome;
     std::optional<OutcomeReader> reader;
   };
   /// Joins the running or completed query of this workspace and idempotency key, or starts it. An
@@ -55,7 +55,7 @@
   struct Entry {
     std::string key;
     std::string fingerprint;
-    std::shared_ptr<SharedOutcome> outcome;
+    SharedOutcomePtr outcome;
     absl::Time started;
   };
   using Entries = std::list<Entry>;
--- a/packages/exchange/include/marigoldquay/exchange/shared_outcome.h
+++ b/packages/exchange/include/marigoldquay/exchange/shared_outcome.h
@@ -18,9 +18,13 @@
 namespace marigoldquay {
 
 class OutcomeReader;
+class SharedOutcome;
 
-/// Tokens and end of one completion. Shared ownership, because the writer, every reader and the
-/// query table use it for times that none of them controls. Thread-safe.
+/// Shared ownership, because the writer, every reader and the query table use an outcome for times
+/// that none of them controls.
+using SharedOutcomePtr = std::shared_ptr<SharedOutcome>;
+
+/// Tokens and end of one completion. Thread-safe.
 class SharedOutcome : public std::enable_shared_from_this<SharedOutcome> {
  public:
   /// Adds a token; ignored after Finish.
@@ -74,9 +78,9 @@
 
  private:
   friend class SharedOutcome;
-  explicit OutcomeReader(std::shared_ptr<SharedOutcome> outcome) : outcome_(std::move(outcome)) {}
+  explicit OutcomeReader(SharedOutcomePtr outcome) : outcome_(std::move(outcome)) {}
 
-  std::shared_ptr<SharedOutcome> outcome_;
+  SharedOutcomePtr outcome_;
   std::size_t position_ = 0;
 };
 
--- a/packages/transport/src/connection.cc
+++ b/packages/transport/src/connection.cc
@@ -41,7 +41,7 @@
 }
 
 bool Connection::PeerClosed() const {
-  pollfd state{fd_.get(), POLLRDHUP, 0};
+  pollfd state{fd_.descriptor(), POLLRDHUP, 0};
   return poll(&state, 1, 0) > 0;
 }
 
@@ -53,7 +53,7 @@
 void Connection::CloseLocked() {
   if (closed_) return;
   closed_ = true;
-  shutdown(fd_.get(), SHUT_RDWR);
+  shutdown(fd_.descriptor(), SHUT_RDWR);
   wake_.Wake();
   room_.notify_all();
 }
@@ -65,7 +65,8 @@
 
 void Connection::Flush() {
   while (!closed_ && sent_ < queue_.size()) {
-    const auto n = send(fd_.get(), queue_.data() + sent_, queue_.size() - sent_, MSG_NOSIGNAL);
+    const auto n =
+        send(fd_.descriptor(), queue_.data() + sent_, queue_.size() - sent_, MSG_NOSIGNAL);
     if (n < 0) {
       if (!WouldBlock(errno)) CloseLocked();
       break;
@@ -96,7 +97,7 @@
   if (!fits()) return SendStatus::kFull;
   std::size_t written = 0;
   if (queue_.empty()) {
-    const auto n = send(fd_.get(), frame.data(), frame.size(), MSG_NOSIGNAL);
+    const auto n = send(fd_.descriptor(), frame.data(), frame.size(), MSG_NOSIGNAL);
     if (n < 0 && !WouldBlock(errno)) {
       CloseLocked();
       return SendStatus::kClosed;
@@ -126,7 +127,7 @@
 std::optional<Error> Connection::ReadOnce(
     const std::function<std::optional<Error>(Frame)>& on_frame) {
   thread_local std::vector<char> buffer(kReadSize);
-  const auto n = recv(fd_.get(), buffer.data(), buffer.size(), 0);
+  const auto n = recv(fd_.descriptor(), buffer.data(), buffer.size(), 0);
   if (n < 0 && WouldBlock(errno)) return std::nullopt;
   if (n <= 0) return Ended(ErrorCode::kUnavailable, n == 0 ? "closed by peer" : "broken");
   decoder_.Append(absl::string_view(buffer.data(), static_cast<std::size_t>(n)));
@@ -152,7 +153,8 @@
   while (true) {
     const bool queued = HasQueued();
     std::array<pollfd, 2> waiting{
-        pollfd{fd_.get(), static_cast<short>(queued ? POLLIN | POLLOUT : POLLIN), 0},  // NOLINT
+        pollfd{fd_.descriptor(), static_cast<short>(queued ? POLLIN | POLLOUT : POLLIN),
+               0},  // NOLINT
         pollfd{wake_.fd(), POLLIN, 0}};
     poll(waiting.data(), waiting.size(), queued || partial_bytes_ > 0 ? kBusyPollMs : kIdlePollMs);
     if ((waiting[1].revents & POLLIN) != 0) wake_.Clear();
@@ -175,14 +177,14 @@
       Flush();
     }
     // Closing with unread input would reset the connection and could destroy the last frame.
-    shutdown(fd_.get(), SHUT_WR);
+    shutdown(fd_.descriptor(), SHUT_WR);
     const absl::Time deadline = Now() + absl::Milliseconds(kFarewellMs);
     std::array<char, 4096> discarded{};
     for (int left = kFarewellMs; left > 0;
          left = static_cast<int>(absl::ToInt64Milliseconds(deadline - Now()))) {
-      pollfd waiting{fd_.get(), POLLIN, 0};
+      pollfd waiting{fd_.descriptor(), POLLIN, 0};
       if (poll(&waiting, 1, left) <= 0) break;
-      if (recv(fd_.get(), discarded.data(), discarded.size(), 0) <= 0) break;
+      if (recv(fd_.descriptor(), discarded.data(), discarded.size(), 0) <= 0) break;
     }
   }
   Close();
--- a/packages/transport/src/rpc_client.cc
+++ b/packages/transport/src/rpc_client.cc
@@ -212,18 +212,24 @@
   std::thread reader_;
 };
 
+// Shared by the calls that use the connection.
+using ConnectionPtr = std::shared_ptr<ClientConnection>;
+
 // One peer's connection and who opens it.
 struct PeerSlot {
   std::mutex mutex;
   std::condition_variable changed;
-  // Guarded by mutex. The connection is shared by the calls that use it.
-  std::shared_ptr<ClientConnection> connection;
+  // Guarded by mutex.
+  ConnectionPtr connection;
   bool opening = false;
   std::uint64_t attempts = 0;
   // Why the last attempt failed; empty when it succeeded or was given up by its caller.
   std::optional<Error> last_error;
 };
 
+// Shared by the calls that use the slot, so that an unused one can be dropped any time.
+using PeerSlotPtr = std::shared_ptr<PeerSlot>;
+
 class TcpRpcClient final : public RpcClient {
  public:
   explicit TcpRpcClient(const RpcClientOptions& options) : options_(options) {}
@@ -318,8 +324,8 @@
   }
 
   // The peer's open connection. Among simultaneous callers one opens it and the others wait.
-  Result<std::shared_ptr<ClientConnection>> Connect(const Address& peer, const CallWait& wait,
-                                                    const CallOptions& options) {
+  Result<ConnectionPtr> Connect(const Address& peer, const CallWait& wait,
+                                const CallOptions& options) {
     const auto slot = FindSlot(peer);
     if (!slot) {
       return Fail(ErrorCode::kNotSent, "connect", peer,
@@ -339,7 +345,7 @@
     }
     if (slot->connection && !slot->connection->closed()) return slot->connection;
     slot->opening = true;
-    std::shared_ptr<ClientConnection> former = std::move(slot->connection);
+    ConnectionPtr former = std::move(slot->connection);
     lock.unlock();
     former.reset();
     auto opened = Open(peer, wait, options);
@@ -360,21 +366,17 @@
     return Fail(error);
   }
 
-  std::variant<std::shared_ptr<ClientConnection>, Error> Open(const Address& peer,
-                                                              const CallWait& wait,
-                                                              const CallOptions& options) {
-    return Capture<std::shared_ptr<ClientConnection>>(
-        [&]() -> Result<std::shared_ptr<ClientConnection>> {
-          const absl::Duration timeout = std::min(wait.left(), options_.connect_timeout);
-          BOOST_LEAF_AUTO(fd, ConnectTcp(peer, timeout, options.cancelled));
-          Metrics().connects.Increment();
-          return std::make_shared<ClientConnection>(std::move(fd), peer,
-                                                    options_.half_open_silence);
-        });
+  std::variant<ConnectionPtr, Error> Open(const Address& peer, const CallWait& wait,
+                                          const CallOptions& options) {
+    return Capture<ConnectionPtr>([&]() -> Result<ConnectionPtr> {
+      const absl::Duration timeout = std::min(wait.left(), options_.connect_timeout);
+      BOOST_LEAF_AUTO(fd, ConnectTcp(peer, timeout, options.cancelled));
+      Metrics().connects.Increment();
+      return std::make_shared<ClientConnection>(std::move(fd), peer, options_.half_open_silence);
+    });
   }
 
-  // Slots are shared by the calls that use them, so that an unused one can be dropped any time.
-  std::shared_ptr<PeerSlot> FindSlot(const Address& peer) {
+  PeerSlotPtr FindSlot(const Address& peer) {
     const std::scoped_lock lock(mutex_);
     if (const auto found = slots_.find(peer); found != slots_.end()) return found->second;
     if (slots_.size() >= kMaxPeers) {
@@ -393,7 +395,7 @@
   std::atomic<std::uint64_t> next_id_{1};
   std::mutex mutex_;
   // Guarded by mutex_; at most kMaxPeers.
-  std::map<Address, std::shared_ptr<PeerSlot>> slots_;
+  std::map<Address, PeerSlotPtr> slots_;
 };
 
 }  // namespace
--- a/packages/transport/src/rpc_server.cc
+++ b/packages/transport/src/rpc_server.cc
@@ -273,7 +273,7 @@
 
   Result<void> Start() {
     BOOST_LEAF_ASSIGN(listener_, ListenTcp(options_.host, options_.port));
-    address_ = LocalAddress(listener_.get());
+    address_ = LocalAddress(listener_.descriptor());
     acceptor_ = std::thread([this] { Accept(); });
     logger_.Info("listening on ", address_);
     return {};
@@ -303,13 +303,13 @@
     // Ended connections are joined at the latest after this long.
     constexpr int kSweepMs = 1000;
     while (!stopping_) {
-      std::array<pollfd, 2> waiting{pollfd{listener_.get(), POLLIN, 0},
+      std::array<pollfd, 2> waiting{pollfd{listener_.descriptor(), POLLIN, 0},
                                     pollfd{wake_.fd(), POLLIN, 0}};
       poll(waiting.data(), waiting.size(), kSweepMs);
       if (stopping_) return;
       Sweep();
       Address peer;
-      UniqueFd fd = AcceptTcp(listener_.get(), peer);
+      UniqueFd fd = AcceptTcp(listener_.descriptor(), peer);
       if (fd.valid()) AddPeer(std::move(fd), peer);
     }
   }
--- a/packages/transport/src/socket.cc
+++ b/packages/transport/src/socket.cc
@@ -95,11 +95,11 @@
 
 WakeFd::WakeFd() : fd_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {}
 
-void WakeFd::Wake() const { eventfd_write(fd_.get(), 1); }
+void WakeFd::Wake() const { eventfd_write(fd_.descriptor(), 1); }
 
 void WakeFd::Clear() const {
   eventfd_t count = 0;
-  eventfd_read(fd_.get(), &count);
+  eventfd_read(fd_.descriptor(), &count);
 }
 
 Result<UniqueFd> ListenTcp(const std::string& host, int port) {
@@ -110,9 +110,9 @@
                 "address malformed, allowed a numeric IP address and a port from 0 to 65535");
   }
   UniqueFd fd(socket(resolved->ai_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, IPPROTO_TCP));
-  if (fd.valid()) SetOption(fd.get(), SOL_SOCKET, SO_REUSEADDR, 1);
-  if (!fd.valid() || bind(fd.get(), resolved->ai_addr, resolved->ai_addrlen) != 0 ||
-      listen(fd.get(), kListenBacklog) != 0) {
+  if (fd.valid()) SetOption(fd.descriptor(), SOL_SOCKET, SO_REUSEADDR, 1);
+  if (!fd.valid() || bind(fd.descriptor(), resolved->ai_addr, resolved->ai_addrlen) != 0 ||
+      listen(fd.descriptor(), kListenBacklog) != 0) {
     return Fail(ErrorCode::kUnavailable, "listen", address, ErrnoText(errno));
   }
   return fd;
@@ -124,7 +124,7 @@
   UniqueFd fd(accept4(listener, reinterpret_cast<sockaddr*>(&storage), &size,
                       SOCK_NONBLOCK | SOCK_CLOEXEC));
   if (!fd.valid()) return fd;
-  Configure(fd.get());
+  Configure(fd.descriptor());
   peer = AddressText(storage, size);
   return fd;
 }
@@ -139,9 +139,9 @@
   }
   UniqueFd fd(socket(resolved->ai_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, IPPROTO_TCP));
   if (!fd.valid()) return Fail(ConnectError(ErrorCode::kNotSent, address, ErrnoText(errno)));
-  Configure(fd.get());
+  Configure(fd.descriptor());
   int error = 0;
-  if (connect(fd.get(), resolved->ai_addr, resolved->ai_addrlen) != 0) error = errno;
+  if (connect(fd.descriptor(), resolved->ai_addr, resolved->ai_addrlen) != 0) error = errno;
   const Clock& clock = SystemClock::Instance();
   const absl::Time deadline = clock.Now() + timeout;
   while (error == EINPROGRESS) {
@@ -154,11 +154,11 @@
           ConnectError(ErrorCode::kNotSent, address,
                        absl::StrCat("no connection within ", absl::FormatDuration(timeout))));
     }
-    pollfd waiting{fd.get(), POLLOUT, 0};
+    pollfd waiting{fd.descriptor(), POLLOUT, 0};
     const absl::Duration wait = cancelled ? std::min(left, kCancelPollInterval) : left;
     if (poll(&waiting, 1, static_cast<int>(absl::ToInt64Milliseconds(wait)) + 1) <= 0) continue;
     socklen_t size = sizeof(error);
-    getsockopt(fd.get(), SOL_SOCKET, SO_ERROR, &error, &size);
+    getsockopt(fd.descriptor(), SOL_SOCKET, SO_ERROR, &error, &size);
   }
   if (error != 0) return Fail(ConnectError(ErrorCode::kNotSent, address, ErrnoText(error)));
   return fd;
--- a/packages/transport/src/socket.h
+++ b/packages/transport/src/socket.h
@@ -28,7 +28,7 @@
     return *this;
   }
 
-  int get() const { return fd_; }
+  int descriptor() const { return fd_; }
   bool valid() const { return fd_ >= 0; }
   void Reset();
 
@@ -42,7 +42,7 @@
   WakeFd();
   void Wake() const;
   void Clear() const;
-  int fd() const { return fd_.get(); }
+  int fd() const { return fd_.descriptor(); }
 
  private:
   UniqueFd fd_;
