--- a/bench/latency/latency_tool.cc
+++ b/bench/latency/latency_tool.cc
@@ -46,11 +46,11 @@
 constexpr int kTokens = 4;
 // Large enough for 256 callers; the engines must not be what limits the requests.
 const std::vector<std::string>& EngineFlags() {
-  static const auto* const kFlags =
+  static const auto* const flags =
       new std::vector<std::string>{"--slots=512",      "--queue=1000",
                                    "--pieces=1000000", "--prefill_tokens_per_s=100000000",
                                    "--token_ms=2",     "--link_bytes_per_s=1000000000000"};
-  return *kFlags;
+  return *flags;
 }
 
 std::vector<std::int64_t> ParseNumbers(const char* flag, const std::string& text) {
@@ -94,7 +94,7 @@
     const std::string prompt = Prompt(prompt_size, number, kTokens);
     const std::int64_t tokens = (prompt_size + 3) / 4;
     const absl::Time start = absl::Now();
-    const Call prefilled =
+    Call prefilled =
         caller.Post(prefill.Url("/v1/prefill"),
                     boost::json::serialize(boost::json::object{{"request_id", id},
                                                                {"holder", "direct/1"},
--- a/bench/load/bench_system.cc
+++ b/bench/load/bench_system.cc
@@ -54,13 +54,13 @@
 }  // namespace
 
 std::optional<Fault> FindFault(absl::string_view name) {
-  static const auto* const kFaults = new std::map<std::string, Fault, std::less<>>{
+  static const auto* const faults = new std::map<std::string, Fault, std::less<>>{
       {"none", Fault::kNone},          {"engine_frozen", Fault::kEngineFrozen},
       {"slow_link", Fault::kSlowLink}, {"load_reports_stopped", Fault::kLoadReportsStopped},
       {"vm_killed", Fault::kVmKilled}, {"log_down", Fault::kLogDown},
       {"zone_lost", Fault::kZoneLost}};
-  const auto found = kFaults->find(std::string(name));
-  if (found == kFaults->end()) return std::nullopt;
+  const auto found = faults->find(std::string(name));
+  if (found == faults->end()) return std::nullopt;
   return found->second;
 }
 
@@ -91,7 +91,7 @@
 }
 
 testing::Server BenchSystem::StartFake(const std::string& program, const std::string& name,
-                                       std::vector<std::string> flags) {
+                                       const std::vector<std::string>& flags) {
   testing::Server server;
   server.process = testing::Process(absl::StrCat(MARIGOLDQUAY_BENCH_FAKES, "/", program), flags,
                                     absl::StrCat(log_folder_, "/", name));
--- a/bench/load/bench_system.h
+++ b/bench/load/bench_system.h
@@ -89,7 +89,7 @@
  private:
   void StartEngines();
   testing::Server StartFake(const std::string& program, const std::string& name,
-                            std::vector<std::string> flags);
+                            const std::vector<std::string>& flags);
   void Configure();
   bool InLostZone(int index) const;
 
--- a/bench/load/load_run.cc
+++ b/bench/load/load_run.cc
@@ -18,9 +18,9 @@
 // The harness reads the daemon's path from this variable.
 void UseDaemon(const std::string& path) {
   constexpr const char* kVariable = "MARIGOLDQUAY_DAEMON";
-  static const char* const kOriginal = std::getenv(kVariable);
-  static const std::string kOriginalPath = kOriginal == nullptr ? "" : kOriginal;
-  const std::string& used = path.empty() ? kOriginalPath : path;
+  static const char* const original = std::getenv(kVariable);
+  static const std::string original_path = original == nullptr ? "" : original;
+  const std::string& used = path.empty() ? original_path : path;
   if (used.empty()) {
     unsetenv(kVariable);
   } else {
--- a/bench/load/report.cc
+++ b/bench/load/report.cc
@@ -227,7 +227,7 @@
 }
 
 const std::vector<Measurement>& ComparedMeasurements() {
-  static const auto* const kMeasurements = new std::vector<Measurement>{
+  static const auto* const measurements = new std::vector<Measurement>{
       {"goodput_of_bound", "Goodput / offline bound",
        [](const RunReport& report) { return report.goodput_of_bound; }, 0.9},
       {"wasted_prefill", "Wasted prefill / prefill work",
@@ -248,7 +248,7 @@
        [](const RunReport& report) { return report.total.gap_ms.p95; }, -1},
       {"daemon_cpu_seconds", "Daemons' processor seconds",
        [](const RunReport& report) { return report.daemons.usage.cpu_seconds; }, -1}};
-  return *kMeasurements;
+  return *measurements;
 }
 
 boost::json::object ToJson(const RunReport& report) {
--- a/bench/micro/config_benchmarks.cc
+++ b/bench/micro/config_benchmarks.cc
@@ -29,9 +29,9 @@
 
 // One configuration per size, shared by the threads as in the daemon.
 const Configuration& SharedConfiguration(std::int64_t keys) {
-  static auto* const kConfigurations = new std::map<std::int64_t, Configuration>{
+  static auto* const configurations = new std::map<std::int64_t, Configuration>{
       {5, MakeConfiguration(5)}, {500, MakeConfiguration(500)}, {26000, MakeConfiguration(26000)}};
-  return kConfigurations->at(keys);
+  return configurations->at(keys);
 }
 
 void CheckKey(benchmark::State& state) {
--- a/bench/micro/quota_benchmarks.cc
+++ b/bench/micro/quota_benchmarks.cc
@@ -90,10 +90,10 @@
 };
 
 void ReserveAtHome(benchmark::State& state) {
-  static auto* const kHomes = new std::map<std::int64_t, std::unique_ptr<Homes>>;
+  static auto* const homes_by_size = new std::map<std::int64_t, std::unique_ptr<Homes>>;
   if (state.thread_index() == 0) {
-    kHomes->clear();
-    (*kHomes)[state.range(0)] = std::make_unique<Homes>(state.range(0));
+    homes_by_size->clear();
+    (*homes_by_size)[state.range(0)] = std::make_unique<Homes>(state.range(0));
   }
   std::vector<std::string> workspaces;
   for (std::int64_t i = 0; i < 1024; ++i) {
@@ -101,7 +101,7 @@
   }
   std::int64_t next = 0;
   for ([[maybe_unused]] auto _ : state) {
-    WorkspaceHomes& homes = kHomes->begin()->second->homes;
+    WorkspaceHomes& homes = homes_by_size->begin()->second->homes;
     const std::string& workspace = workspaces[next % 1024];
     const ReserveAnswer answer =
         homes.Reserve(workspace, absl::StrCat(state.thread_index(), "-", next++), 100);
