--- a/bench/latency/latency_tool.cc
+++ b/bench/latency/latency_tool.cc
@@ -37,7 +37,6 @@
 namespace marigoldquay::bench {
 namespace {
 
-using testing::BackendUnderTest;
 using testing::Server;
 using testing::System;
 using testing::SystemOptions;
