Add rate tests with bursts that expose full buckets and double homes

Cause: no rate test was shaped to detect a new home that starts full. With a burst of 4000 at 2000 tokens/s, the 2.75 s for which the role is vacant accrue more than a full bucket holds. Ruled out: killing and restarting the home every 5 s. The role is then vacant nearly all the time (876 of 8000 tokens granted), so no new home acts.

--- a/tests/invariants/rate_test.cc
+++ b/tests/invariants/rate_test.cc
@@ -4,6 +4,10 @@
 #include <mutex>
 #include <random>
 
+#include "absl/strings/ascii.h"
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_split.h"
 #include "load.h"
 
 namespace marigoldquay::testing {
@@ -81,20 +85,26 @@
 constexpr TokenCount kRate = 2000;
 constexpr TokenCount kBurst = 4000;
 
-SystemOptions LimitedWorkspace(int vms) {
+struct Limits {
+  TokenCount rate = kRate;
+  TokenCount burst = kBurst;
+};
+
+SystemOptions LimitedWorkspace(int vms, Limits limits = {}) {
   SystemOptions options;
   options.vms = vms;
-  options.workspaces = {{"w1", 1, kRate, kBurst}, {"w2", 1, 1000000, 10000000}};
+  options.workspaces = {{"w1", 1, limits.rate, limits.burst}, {"w2", 1, 1000000, 10000000}};
   options.decode_flags = {"--token_ms=2", "--slots=64"};
   options.prefill_flags = {"--prefill_tokens_per_s=2000000"};
   return options;
 }
 
-void CheckGrants(const GreedyCallers& callers, absl::Duration duration, double least_share) {
+void CheckGrants(const GreedyCallers& callers, absl::Duration duration, double least_share,
+                 Limits limits = {}) {
   TokenCount total = 0;
   for (const auto& grant : callers.grants()) total += grant.tokens;
-  const auto possible = kRate * absl::ToInt64Seconds(duration);
-  const auto excess = WorstExcess(callers.grants(), kRate, kBurst);
+  const auto possible = limits.rate * absl::ToInt64Seconds(duration);
+  const auto excess = WorstExcess(callers.grants(), limits.rate, limits.burst);
   BOOST_TEST_MESSAGE("tokens granted " << total << " of about " << possible
                                        << ", worst window excess " << excess << ", rejected "
                                        << callers.rejected());
@@ -102,6 +112,39 @@
   BOOST_TEST(static_cast<double>(total) >= least_share * static_cast<double>(possible));
 }
 
+// Reservations that a VM has granted as home, from its metrics; 0 when it does not answer.
+std::int64_t GrantedAsHome(System& system, int vm) {
+  constexpr absl::string_view kSample =
+      "marigoldquay_home_reserves_total{result=\"granted\"}";
+  const auto response = Get(absl::StrCat("http://", system.vm(vm).caller, "/metrics"));
+  for (const absl::string_view line : absl::StrSplit(response.body, '\n')) {
+    double value = 0;
+    if (absl::StartsWith(line, kSample) &&
+        absl::SimpleAtod(absl::StripAsciiWhitespace(line.substr(kSample.size())), &value)) {
+      return static_cast<std::int64_t>(value);
+    }
+  }
+  return 0;
+}
+
+// The VM that grants under the load of greedy callers; -1 when none does.
+int FindHome(System& system) {
+  std::vector<std::int64_t> before;
+  for (int vm = 0; vm < system.vm_count(); ++vm) before.push_back(GrantedAsHome(system, vm));
+  int home = -1;
+  Eventually(absl::Seconds(12), [&] {
+    std::int64_t most = 0;
+    for (int vm = 0; vm < system.vm_count(); ++vm) {
+      const auto granted = GrantedAsHome(system, vm) - before[vm];
+      if (granted <= most) continue;
+      most = granted;
+      home = vm;
+    }
+    return home >= 0;
+  });
+  return home;
+}
+
 BOOST_AUTO_TEST_SUITE(rate)
 
 // Fails if each VM grants the rate on its own, or if much of the rate cannot be used.
@@ -128,6 +171,55 @@
   CheckGrants(callers, absl::Seconds(16), 0.2);
 }
 
+// Fails if a new home starts with tokens that its predecessor has granted already. The burst is
+// large against the rate: otherwise what accrues while the role is vacant hides a full bucket.
+BOOST_AUTO_TEST_CASE(homes_of_a_large_burst_are_killed) {
+  constexpr Limits kLimits = {500, 20000};
+  TestSystem system(LimitedWorkspace(6, kLimits));
+  const auto begin = absl::Now();
+  GreedyCallers callers(system, 24);
+  for (int round = 0; round < 3; ++round) {
+    const int home = FindHome(system);
+    BOOST_REQUIRE(home >= 0);
+    absl::SleepFor(absl::Seconds(1));
+    // Not started again: a new owner that joins at once would take the role before its successor.
+    system.vm(home).process.Kill();
+  }
+  BOOST_REQUIRE(FindHome(system) >= 0);
+  absl::SleepFor(absl::Seconds(3));
+  callers.Stop();
+  // The role is vacant for most of the time, for some 5 s after each death.
+  CheckGrants(callers, absl::Now() - begin, 0.1, kLimits);
+}
+
+// Fails if a home and its successor grant at the same time. The burst is small against the rate, so
+// that it does not cover what two homes grant until the first one's lease ends.
+BOOST_AUTO_TEST_CASE(home_of_a_small_burst_is_cut_off) {
+  constexpr Limits kLimits = {2000, 400};
+  auto options = LimitedWorkspace(4, kLimits);
+  options.inner_proxies = true;
+  options.log_proxies = true;
+  TestSystem system(options);
+  GreedyCallers callers(system, 24);
+  for (int round = 0; round < 3; ++round) {
+    absl::SleepFor(absl::Seconds(1));
+    const int home = FindHome(system);
+    BOOST_REQUIRE(home >= 0);
+    // The others cannot reach the home; its own callers and its own calls still pass.
+    auto& target = system.vm(home);
+    target.inner_proxy->SetFaults({{"refuse", 1}});
+    target.inner_proxy->Control("cut");
+    target.log_proxy->SetFaults({{"refuse", 1}});
+    target.log_proxy->Control("cut");
+    absl::SleepFor(absl::Seconds(6));
+    target.inner_proxy->SetFaults({});
+    target.log_proxy->SetFaults({});
+    absl::SleepFor(absl::Seconds(1));
+  }
+  callers.Stop();
+  CheckGrants(callers, absl::Seconds(25), 0.2, kLimits);
+}
+
 // Fails if a home that was paused past its lease grants next to its successor.
 BOOST_AUTO_TEST_CASE(vms_are_paused_and_resumed) {
   TestSystem system(LimitedWorkspace(4));
