Add outage test with open claim streams

Cause: dispatch without reading the claim back passed log_outage, because an owner that has not read a claim stream rejects for that reason alone. Ruled out: without_faults_all_orders_are_answered, vms_are_killed_and_restarted and log_outage all pass with the read-back off. Results: the new test fails with the read-back off (12 of 12 orders ran and got 200) and passes with it, one run each. Conclusion: the read-back is covered; that the first claim wins is not.

--- a/tests/invariants/run_once_test.cc
+++ b/tests/invariants/run_once_test.cc
@@ -201,6 +201,31 @@
   BOOST_TEST(system.Executions()["during-outage"] == 1);
 }
 
+// Fails if an order is dispatched before its claim has been read back. The claim streams are open
+// when the outage starts: an owner that has not read a stream yet rejects for that reason alone.
+BOOST_AUTO_TEST_CASE(log_outage_after_claim_streams_are_open) {
+  TestSystem system;
+  Orders before(system, kOrders, TestSeed());
+  before.Join();
+  BOOST_TEST(CheckOrders(system, before).answered == kOrders);
+  system.log().SetFaults({{"outage", 1}});
+  constexpr int kAsked = 12;
+  std::vector<ClientResponse> responses(kAsked);
+  Threads devices;
+  for (int i = 0; i < kAsked; ++i) {
+    devices.Start([&, i] {
+      responses[i] = Fetch(system.OrderRequest(i % 3, "w1", absl::StrCat("unclaimed-", i), "{}"));
+    });
+  }
+  devices.Join();
+  const auto executions = system.Executions();
+  for (int i = 0; i < kAsked; ++i) {
+    BOOST_TEST(responses[i].status == 503);
+    BOOST_TEST(Outcome(responses[i]) == "not_run");
+    BOOST_TEST(executions.count(absl::StrCat("unclaimed-", i)) == 0U);
+  }
+}
+
 // Fails if a service that executed and lost its answer is asked again.
 BOOST_AUTO_TEST_CASE(service_loses_its_answer) {
   TestSystem system;
