--- a/tests/invariants/honest_caller.h
+++ b/tests/invariants/honest_caller.h
@@ -9,11 +9,16 @@
 inline constexpr TokenCount kRate = 2000;
 inline constexpr TokenCount kBurst = 4000;
 
+struct Limits {
+  TokenCount rate = kRate;
+  TokenCount burst = kBurst;
+};
+
 /// A system with fast engines in which only the rate of w1 is short.
-inline SystemOptions LimitedWorkspace(int vms) {
+inline SystemOptions LimitedWorkspace(int vms, Limits limits = {}) {
   SystemOptions options;
   options.vms = vms;
-  options.workspaces = {{"w1", 1, kRate, kBurst}, {"w2", 1, 1000000, 10000000}};
+  options.workspaces = {{"w1", 1, limits.rate, limits.burst}, {"w2", 1, 1000000, 10000000}};
   options.decode_flags = {"--token_ms=2", "--slots=64"};
   options.prefill_flags = {"--prefill_tokens_per_s=2000000"};
   return options;
