Test promises and displaced guardians of the membership harder

Cause: trial mutations of the promise rules passed the simulation, because most leases there came from the log. The simulation now cuts groups of VMs off and takes the log away from most members; a unit test covers displaced guardians.

--- a/packages/membership/tests/duties_test.cc
+++ b/packages/membership/tests/duties_test.cc
@@ -156,6 +156,53 @@
   BOOST_TEST(!state.AllReachableSayLogDown());  // One of two is not more than half.
 }
 
+// Fails if a new guardian removes a ward that still gets promises from a guardian which does not
+// know that it was displaced.
+BOOST_AUTO_TEST_CASE(displaced_guardian_must_know_before_a_removal) {
+  ManualClock clock;
+  MemberSet set;
+  LogPage page;
+  for (const auto* vm : {"a", "b", "c", "d", "e"}) {
+    page.records.push_back(
+        {page.next_offset++, FormatRecord(JoinRecord{SampleMember(vm, 1), "n", false})});
+    set.ApplyRecord(page.records.back().offset, page.records.back().data);
+  }
+  VmId ward;
+  for (const auto& vm : set.vms()) {
+    if (!set.DisplacedGuardiansOf(vm).empty() &&
+        set.DisplacedGuardiansOf(vm).begin()->second == 4) {
+      ward = vm;  // The join of "e" gave it a new guardian, which is "e".
+    }
+  }
+  BOOST_REQUIRE(!ward.empty());
+  const auto displaced = set.DisplacedGuardiansOf(ward).begin()->first;
+
+  MembershipState state(clock);
+  state.Begin(SampleMember("e", 1));
+  state.OnPage(page, clock.Now());
+  const auto pass = [&](absl::Duration time, Offset epoch_of_displaced) {
+    for (; time > absl::ZeroDuration(); time -= absl::Milliseconds(500)) {
+      clock.Advance(absl::Milliseconds(500));
+      state.Tick({});
+      for (const auto& vm : set.vms()) {
+        if (vm == "e" || vm == ward) continue;
+        protocol::HeartbeatMessageT answer;
+        answer.sender = ToWire({vm, 1});
+        answer.epoch = vm == displaced ? epoch_of_displaced : set.epoch();
+        state.OnHeartbeatAnswer(answer, clock.Now());
+      }
+    }
+  };
+  pass(absl::Seconds(10), set.epoch() - 1);
+  BOOST_TEST(state.RemovalsDue().empty());
+  const auto targets = state.HeartbeatTargets(0);
+  BOOST_TEST(std::count(targets.begin(), targets.end(), SampleMember(displaced, 1)) == 1);
+  pass(kLeaseTime, set.epoch());
+  BOOST_TEST(state.RemovalsDue().empty());  // An earlier promise may still be in force.
+  pass(absl::Seconds(1), set.epoch());
+  BOOST_TEST((state.RemovalsDue() == std::vector<Instance>{{ward, 1}}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/packages/membership/tests/membership_state_test.cc
+++ b/packages/membership/tests/membership_state_test.cc
@@ -40,7 +40,13 @@
   void Disturb() {
     const int vm = Pick(static_cast<int>(processes_.size()));
     const int other = Pick(static_cast<int>(processes_.size()));
-    switch (Pick(8)) {
+    switch (Pick(10)) {
+      case 8:
+        MakeIsland();
+        break;
+      case 9:
+        for (auto& row : cut_) row.assign(row.size(), false);
+        break;
       case 0:
         StartProcess(vm);
         break;
@@ -71,6 +77,13 @@
 
   void SetLogDown() { log_down_ = true; }
 
+  // From now on most members read the log only through peers, so that leases depend on promises.
+  void MakeLogScarce() {
+    for (auto& process : processes_) {
+      if (process && Chance(0.7)) process->log_cut = true;
+    }
+  }
+
   void Heal() {
     log_down_ = false;
     loss_ = 0;
@@ -124,6 +137,17 @@
     std::function<void()> deliver;
   };
 
+  // Cuts a random group of VMs off from the others, and mostly from the log.
+  void MakeIsland() {
+    const double share = 0.2 + 0.1 * Pick(5);
+    std::vector<bool> inside;
+    for (std::size_t i = 0; i < processes_.size(); ++i) inside.push_back(Chance(share));
+    for (std::size_t i = 0; i < processes_.size(); ++i) {
+      for (std::size_t j = 0; j < processes_.size(); ++j) cut_[i][j] = inside[i] != inside[j];
+      if (inside[i] && processes_[i] && Chance(0.8)) processes_[i]->log_cut = true;
+    }
+  }
+
   bool Lost() { return Chance(loss_); }
 
   // Appends now, later or never.
@@ -262,11 +286,13 @@
   std::vector<std::string> keys;
   for (int i = 0; i < 12; ++i) keys.push_back(absl::StrCat("key", i));
   testing::CheckProperty("at most one holder per key, and one after healing", [&] {
-    const int vms = *rc::gen::inRange(1, 7);
+    const int vms = *rc::gen::inRange(1, 9);
     World world(*rc::gen::arbitrary<std::uint32_t>(), vms);
     for (int vm = 0; vm < vms; ++vm) world.StartProcess(vm);
     const auto disturbance = *rc::gen::element(0.0, 0.01, 0.03, 0.1);
+    const bool scarce_log = *rc::gen::arbitrary<bool>();
     for (int step = 0; step < 400; ++step) {
+      if (scarce_log && step == 80) world.MakeLogScarce();
       if (world.Chance(disturbance)) world.Disturb();
       world.Step();
       for (const auto& key : keys) RC_ASSERT(world.Holders(key) <= 1);
