--- a/bench/tests/load_driver_test.cc
+++ b/bench/tests/load_driver_test.cc
@@ -176,6 +176,12 @@
       {profile, workload, records, absl::ZeroDuration(), absl::Seconds(1), true, engines, {}});
   BOOST_TEST(excess.refused_within_rate == 0.0);
 
+  // A run that answers nothing well has served nobody.
+  for (RequestRecord& record : records) record = refused;
+  const RunReport nothing = Measure(
+      {profile, workload, records, absl::ZeroDuration(), absl::Seconds(1), false, engines, {}});
+  BOOST_TEST(nothing.worst_share == 0.0);
+
   const Comparison comparison{"title", {{report, report}, {report, report}}};
   BOOST_TEST(comparison.Summaries()[1].values[0].ratio == 1.0);
   BOOST_TEST(comparison.Summaries()[1].values[0].deviation == 0.0);
