--- a/tests/support/system.cc
+++ b/tests/support/system.cc
@@ -73,8 +73,8 @@
 void System::AwaitHomes(absl::Duration timeout) {
   std::int64_t homes = 0;
   const auto status = [&] {
-    return Fetch({"GET", absl::StrCat("http://", vms_.front().operator_address,
-                                      "/operator/v1/status"),
+    return Fetch({"GET",
+                  absl::StrCat("http://", vms_.front().operator_address, "/operator/v1/status"),
                   {absl::StrCat("Authorization: Bearer ", kOperatorToken)}});
   };
   const bool all = Eventually(timeout, [&] {
