--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -1,3 +1,9 @@
+# Compiled once for all test programs: Boost.Test's main takes seconds.
+if(MARIGOLDQUAY_BUILD_TESTS)
+  add_library(mq_unit_test_main OBJECT ${PROJECT_SOURCE_DIR}/tests/support/unit_test_main.cc)
+  target_compile_definitions(mq_unit_test_main PRIVATE BOOST_TEST_DYN_LINK)
+endif()
+
 # mq_package(<name> DEPENDS <packages or libraries> [PRIVATE_DEPENDS ...])
 # Defines the library mq_<name> from src/*.cc, and one test program from
 # tests/*_test.cc when the package has tests.
@@ -19,7 +25,7 @@
   endif()
   file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*_test.cc)
   if(tests)
-    add_executable(${name}_tests ${tests} ${PROJECT_SOURCE_DIR}/tests/support/unit_test_main.cc)
+    add_executable(${name}_tests ${tests} $<TARGET_OBJECTS:mq_unit_test_main>)
     target_include_directories(${name}_tests PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}/src
                                ${PROJECT_SOURCE_DIR}/tests/support)
     target_compile_definitions(${name}_tests PRIVATE BOOST_TEST_DYN_LINK)
--- a/packages/transport/src/connection.cc
+++ b/packages/transport/src/connection.cc
@@ -152,10 +152,9 @@
 Error Connection::Run(const std::function<std::optional<Error>(Frame)>& on_frame) {
   while (true) {
     const bool queued = HasQueued();
-    std::array<pollfd, 2> waiting{
-        pollfd{fd_.descriptor(), static_cast<short>(queued ? POLLIN | POLLOUT : POLLIN),
-               0},  // NOLINT
-        pollfd{wake_.fd(), POLLIN, 0}};
+    std::array<pollfd, 2> waiting{pollfd{fd_.descriptor(), POLLIN, 0},
+                                  pollfd{wake_.fd(), POLLIN, 0}};
+    if (queued) waiting[0].events |= POLLOUT;
     poll(waiting.data(), waiting.size(), queued || partial_bytes_ > 0 ? kBusyPollMs : kIdlePollMs);
     if ((waiting[1].revents & POLLIN) != 0) wake_.Clear();
     {
