Keep the bound of the Idempotency-Key in one place

Cause: found in the read-through: the bound stood in two files of entry, and an unused logger gave a compiler warning.

--- a/packages/entry/src/caller.h
+++ b/packages/entry/src/caller.h
@@ -25,6 +25,9 @@
 
 namespace internal {
 
+/// Longest Idempotency-Key in bytes, for completions and plain routes alike.
+inline constexpr std::size_t kMaxIdempotencyKeySize = 255;
+
 enum class CallerState { kPresent, kGone, kKeyWithdrawn, kConfigurationStale };
 
 /// Checks during a wait or a stream whether its caller may still be served. Not thread-safe.
--- a/packages/entry/src/entry_service.cc
+++ b/packages/entry/src/entry_service.cc
@@ -10,7 +10,6 @@
 #include "absl/strings/str_join.h"
 #include "absl/strings/str_split.h"
 #include "caller.h"
-#include "marigoldquay/core/logger.h"
 #include "marigoldquay/core/metrics.h"
 #include "marigoldquay/entry/address_selector.h"
 #include "marigoldquay/entry/completion_parser.h"
@@ -21,16 +20,11 @@
 
 namespace json = boost::json;
 using internal::CompletionFormat;
+using internal::kMaxIdempotencyKeySize;
 using internal::Rejection;
 using internal::RejectionReply;
 
 constexpr auto kRetryAfterUnavailable = absl::Seconds(1);
-constexpr std::size_t kMaxIdempotencyKeySize = 255;
-
-const Logger& Log() {
-  static const Logger logger("entry");
-  return logger;
-}
 
 void CountReply(absl::string_view route, int status) {
   MetricsRegistry::Global()
--- a/packages/entry/src/plain_routes.cc
+++ b/packages/entry/src/plain_routes.cc
@@ -11,11 +11,11 @@
 namespace marigoldquay {
 namespace {
 
+using internal::kMaxIdempotencyKeySize;
 using internal::Rejection;
 using internal::RejectionReply;
 
 constexpr auto kRetryAfterUnavailable = absl::Seconds(1);
-constexpr std::size_t kMaxIdempotencyKeySize = 255;
 
 std::string Target(const HttpServerRequest& request) {
   return request.query.empty() ? request.path : absl::StrCat(request.path, "?", request.query);
