Name the shared types once, and say why they are shared

Most of them spelled out the type of a connection, a catalog or a listener's state again, without the reason. No change of behaviour.

--- a/packages/exchange/include/marigoldquay/exchange/shared_outcome.h
+++ b/packages/exchange/include/marigoldquay/exchange/shared_outcome.h
@@ -27,6 +27,8 @@
 /// Tokens and end of one completion. Thread-safe.
 class SharedOutcome : public std::enable_shared_from_this<SharedOutcome> {
  public:
+  static SharedOutcomePtr Make() { return std::make_shared<SharedOutcome>(); }
+
   /// Adds a token; ignored after Finish.
   void Append(absl::string_view token);
   /// Sets the end; later calls are ignored, so that there is exactly one.
--- a/packages/exchange/src/completion_service.cc
+++ b/packages/exchange/src/completion_service.cc
@@ -152,7 +152,7 @@
 
 std::variant<OutcomeReader, CompletionEnd> CompletionService::RunLocally(
     const CompletionRequest& request) {
-  auto outcome = std::make_shared<SharedOutcome>();
+  auto outcome = SharedOutcome::Make();
   auto reader = outcome->Join();
   const bool started = tasks_.Start([this, request, outcome] {
     runner_.Run(request, *outcome, [this] { return stopping_.load(); });
@@ -187,7 +187,7 @@
 
 std::variant<OutcomeReader, CompletionEnd> CompletionService::Follow(
     const CompletionRequest& request) {
-  auto outcome = std::make_shared<SharedOutcome>();
+  auto outcome = SharedOutcome::Make();
   auto reader = outcome->Join();
   const bool started = tasks_.Start([this, request, outcome] { FollowOwner(request, *outcome); });
   if (!started) return TooManyRequests();
--- a/packages/exchange/src/query_table.cc
+++ b/packages/exchange/src/query_table.cc
@@ -36,7 +36,7 @@
     Erase(found->second);
   }
   if (entries_.size() >= limits_.max_entries) return {JoinStatus::kFull, nullptr, {}};
-  auto outcome = std::make_shared<SharedOutcome>();
+  auto outcome = SharedOutcome::Make();
   auto reader = outcome->Join();
   entries_.push_back({key, fingerprint, outcome, clock_.Now()});
   index_[key] = std::prev(entries_.end());
--- a/packages/fleet/include/marigoldquay/fleet/frame_connection.h
+++ b/packages/fleet/include/marigoldquay/fleet/frame_connection.h
@@ -13,17 +13,19 @@
 
 namespace marigoldquay {
 
+class FrameConnection;
+/// Shared with the handlers of writes and timers, which may run after the session has ended.
+using FrameConnectionPtr = std::shared_ptr<FrameConnection>;
+
 /// Sends without waiting and reads in one fiber. A peer that does not read is cut off when too much
 /// is waiting for it.
 class FrameConnection : public std::enable_shared_from_this<FrameConnection> {
  public:
-  // Shared with the handlers of writes that are under way.
-  static std::shared_ptr<FrameConnection> Make(Tcp::socket socket);
+  static FrameConnectionPtr Make(Tcp::socket socket);
 
   /// Connects to another VM.
-  static ErrorOr<std::shared_ptr<FrameConnection>> Connect(asio::io_context& io,
-                                                           const Address& peer,
-                                                           absl::Duration timeout, Yield yield);
+  static ErrorOr<FrameConnectionPtr> Connect(asio::io_context& io, const Address& peer,
+                                             absl::Duration timeout, Yield yield);
 
   template <class ObjectT>
   void Send(protocol::MessageType type, std::uint64_t call_id, const ObjectT& message) {
--- a/packages/fleet/src/frame_connection.cc
+++ b/packages/fleet/src/frame_connection.cc
@@ -28,14 +28,12 @@
   socket_.set_option(Tcp::no_delay(true), ignored);
 }
 
-std::shared_ptr<FrameConnection> FrameConnection::Make(Tcp::socket socket) {
-  return std::shared_ptr<FrameConnection>(new FrameConnection(std::move(socket)));
+FrameConnectionPtr FrameConnection::Make(Tcp::socket socket) {
+  return FrameConnectionPtr(new FrameConnection(std::move(socket)));
 }
 
-ErrorOr<std::shared_ptr<FrameConnection>> FrameConnection::Connect(asio::io_context& io,
-                                                                   const Address& peer,
-                                                                   absl::Duration timeout,
-                                                                   Yield yield) {
+ErrorOr<FrameConnectionPtr> FrameConnection::Connect(asio::io_context& io, const Address& peer,
+                                                     absl::Duration timeout, Yield yield) {
   const auto endpoint = ParseEndpoint(peer);
   if (!endpoint) return Error{ErrorCode::kNotSent, "connect to VM", peer, "malformed address"};
   Tcp::socket socket(io);
--- a/packages/net/include/marigoldquay/net/http_listener.h
+++ b/packages/net/include/marigoldquay/net/http_listener.h
@@ -87,13 +87,13 @@
   std::size_t active_requests() const;
   std::size_t connections() const;
 
-  /// State shared with the fibers of connections.
   struct Shared;
+  /// Shared with the fibers of connections, which may outlive the listener object.
+  using SharedPtr = std::shared_ptr<Shared>;
 
  private:
   asio::io_context& io_;
-  // Shared with the fibers of connections, which may outlive the listener object.
-  std::shared_ptr<Shared> shared_;
+  SharedPtr shared_;
 };
 
 }  // namespace marigoldquay
--- a/packages/net/src/caller_connection.cc
+++ b/packages/net/src/caller_connection.cc
@@ -179,7 +179,7 @@
 
 class ConnectionServer {
  public:
-  ConnectionServer(std::shared_ptr<HttpListener::Shared> shared, Tcp::socket socket)
+  ConnectionServer(HttpListener::SharedPtr shared, Tcp::socket socket)
       : shared_(std::move(shared)), stream_(std::move(socket)) {}
 
   void Run(Yield yield) {
@@ -284,15 +284,14 @@
   }
 
   // Shared with the listener and all its connections.
-  std::shared_ptr<HttpListener::Shared> shared_;
+  HttpListener::SharedPtr shared_;
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_;
 };
 
 }  // namespace
 
-void ServeConnection(const std::shared_ptr<HttpListener::Shared>& shared, Tcp::socket socket,
-                     Yield yield) {
+void ServeConnection(const HttpListener::SharedPtr& shared, Tcp::socket socket, Yield yield) {
   ++shared->connections;
   ConnectionServer(shared, std::move(socket)).Run(yield);
   --shared->connections;
--- a/packages/net/src/caller_connection.h
+++ b/packages/net/src/caller_connection.h
@@ -76,8 +76,7 @@
 };
 
 /// Serves requests on an accepted socket until it closes.
-void ServeConnection(const std::shared_ptr<HttpListener::Shared>& shared, Tcp::socket socket,
-                     Yield yield);
+void ServeConnection(const HttpListener::SharedPtr& shared, Tcp::socket socket, Yield yield);
 
 }  // namespace marigoldquay::internal
 
--- a/packages/net/src/http_listener.cc
+++ b/packages/net/src/http_listener.cc
@@ -19,7 +19,7 @@
 // Pause after a failed accept, e.g. when descriptors run out.
 constexpr absl::Duration kAcceptPause = absl::Milliseconds(50);
 
-void AcceptConnections(const std::shared_ptr<HttpListener::Shared>& shared, Yield yield) {
+void AcceptConnections(const HttpListener::SharedPtr& shared, Yield yield) {
   while (shared->acceptor.is_open()) {
     boost::system::error_code error;
     Tcp::socket socket(shared->io);
--- a/packages/relay/src/request_state.h
+++ b/packages/relay/src/request_state.h
@@ -17,7 +17,7 @@
   Cancellation& cancellation;
 
   // Set in this order while the request is checked.
-  std::shared_ptr<const Catalog> catalog;
+  CatalogPtr catalog;
   CallerRequest caller;
   const CatalogRoute* route = nullptr;
   // Null on anonymous routes and where no keys are needed.
--- a/packages/routing/include/marigoldquay/routing/cluster_view.h
+++ b/packages/routing/include/marigoldquay/routing/cluster_view.h
@@ -11,12 +11,14 @@
 
 namespace marigoldquay {
 
+/// Shared, since a request keeps the version that it started with while newer ones arrive.
+using CatalogPtr = std::shared_ptr<const Catalog>;
+
 /// Not thread-safe.
 class ClusterView {
  public:
-  /// Null until a configuration was seen. Shared, since a request keeps the version that it started
-  /// with while newer ones arrive.
-  std::shared_ptr<const Catalog> catalog() const { return catalog_; }
+  /// Null until a configuration was seen.
+  CatalogPtr catalog() const { return catalog_; }
 
   /// Puts a newer version in force; returns false for a version that is not newer, so that the
   /// configuration of a process never goes back.
@@ -30,7 +32,7 @@
   const ReplicaTable& replicas() const { return replicas_; }
 
  private:
-  std::shared_ptr<const Catalog> catalog_;
+  CatalogPtr catalog_;
   ReplicaTable replicas_;
 };
 
