Keep a workspace within its quota while VMs start and coordinators change

A VM that had just started took 1 for the number of VMs, so its local ledger and its own coordinator handed out the whole rate and half of a burst. Each takeover also began with half of the burst, whatever the coordinator before had handed out, and a coordinator that got its VMs back later kept a bucket that had filled up in the meantime. Change: while the list of members is not settled, 10 VMs are assumed, or the number that a VM brings from its former coordinator. The first report of a session carries the levels last heard; the new coordinator starts from them. A ledger that was idle starts over, levels follow the share, and what a VM admits while its coordinator is silent is charged when it is heard again. Ruled out: starting every bucket empty, which refuses callers within their rate after each takeover. Unit tests of the ledger for moved shares and lowered levels. Sessions of the coordinator and calls of its link are now owned by their fibers.

--- a/packages/dispatch/include/marigoldquay/dispatch/quota_ledger.h
+++ b/packages/dispatch/include/marigoldquay/dispatch/quota_ledger.h
@@ -3,6 +3,7 @@
 #ifndef MARIGOLDQUAY_DISPATCH_QUOTA_LEDGER_H_
 #define MARIGOLDQUAY_DISPATCH_QUOTA_LEDGER_H_
 
+#include <algorithm>
 #include <string>
 
 #include "absl/container/flat_hash_map.h"
@@ -35,8 +36,9 @@
   /// such a tolerance, so that refusing less than it allows would refuse requests within the quota.
   void SetTolerance(TokenCount tokens) { tolerance_ = tokens; }
 
-  /// Changes the share; levels above the new burst are cut.
-  void SetShare(double share);
+  /// Changes the share. Levels change in proportion, so that ledgers whose shares still add up to
+  /// one hand out no token twice.
+  void SetShare(double share) { share_ = std::clamp(share, 0.0, 1.0); }
   double share() const { return share_; }
 
   /// Takes the tokens when the level covers them. A cost above the whole burst is admitted from a
@@ -44,6 +46,10 @@
   QuotaDecision Admit(const CatalogWorkspace& workspace, TokenCount tokens, absl::Time now);
   /// Takes the tokens of requests that were admitted elsewhere; the level may become negative.
   void Charge(const CatalogWorkspace& workspace, TokenCount tokens, absl::Time now);
+  /// Lowers the level to what is left of `fleet_level`, the level over all ledgers, for this share.
+  void LowerTo(const CatalogWorkspace& workspace, TokenCount fleet_level, absl::Time now);
+  /// Forgets all levels, when other ledgers have handed out tokens in the meantime.
+  void Reset() { buckets_.clear(); }
   /// Tokens available; negative while there is a debt.
   TokenCount Level(const CatalogWorkspace& workspace, absl::Time now);
 
@@ -51,9 +57,10 @@
   struct Bucket {
     double level = 0;
     absl::Time updated;
+    // Share for which the level holds.
+    double share = 0;
   };
 
-  double Rate(const CatalogWorkspace& workspace) const;
   double Burst(const CatalogWorkspace& workspace) const;
   Bucket& Refill(const CatalogWorkspace& workspace, absl::Time now);
 
--- a/packages/dispatch/src/quota_ledger.cc
+++ b/packages/dispatch/src/quota_ledger.cc
@@ -11,22 +11,20 @@
 
 }  // namespace
 
-void QuotaLedger::SetShare(double share) { share_ = std::clamp(share, 0.0, 1.0); }
-
-double QuotaLedger::Rate(const CatalogWorkspace& workspace) const {
-  return share_ * static_cast<double>(workspace.quota.rate);
-}
-
 double QuotaLedger::Burst(const CatalogWorkspace& workspace) const {
   return share_ * static_cast<double>(workspace.quota.burst + tolerance_);
 }
 
 QuotaLedger::Bucket& QuotaLedger::Refill(const CatalogWorkspace& workspace, absl::Time now) {
   const double initial = kInitialFill * share_ * static_cast<double>(workspace.quota.burst);
-  auto [found, added] = buckets_.try_emplace(workspace.name, Bucket{initial, now});
-  Bucket& bucket = found->second;
+  Bucket& bucket = buckets_.try_emplace(workspace.name, Bucket{initial, now, share_}).first->second;
   const absl::Duration elapsed = std::max(now - bucket.updated, absl::ZeroDuration());
-  bucket.level += Rate(workspace) * absl::ToDoubleSeconds(elapsed);
+  const double rate = bucket.share * static_cast<double>(workspace.quota.rate);
+  bucket.level += rate * absl::ToDoubleSeconds(elapsed);
+  if (bucket.share != share_) {
+    bucket.level = bucket.share > 0 ? bucket.level * share_ / bucket.share : initial;
+    bucket.share = share_;
+  }
   bucket.level = std::min(bucket.level, Burst(workspace));
   bucket.updated = std::max(bucket.updated, now);
   return bucket;
@@ -42,7 +40,7 @@
     bucket.level -= cost;
     return {true, absl::ZeroDuration()};
   }
-  const double rate = Rate(workspace);
+  const double rate = share_ * static_cast<double>(workspace.quota.rate);
   if (rate <= 0) return {false, kMaxRetryAfter};
   const absl::Duration wait = absl::Seconds((needed - bucket.level) / rate);
   return {false, std::min(wait, kMaxRetryAfter)};
@@ -53,6 +51,13 @@
   Refill(workspace, now).level -= static_cast<double>(tokens);
 }
 
+void QuotaLedger::LowerTo(const CatalogWorkspace& workspace, TokenCount fleet_level,
+                          absl::Time now) {
+  if (!workspace.quota.limited()) return;
+  Bucket& bucket = Refill(workspace, now);
+  bucket.level = std::min(bucket.level, share_ * static_cast<double>(fleet_level));
+}
+
 TokenCount QuotaLedger::Level(const CatalogWorkspace& workspace, absl::Time now) {
   if (!workspace.quota.limited()) return 0;
   return static_cast<TokenCount>(Refill(workspace, now).level);
--- a/packages/dispatch/tests/quota_ledger_test.cc
+++ b/packages/dispatch/tests/quota_ledger_test.cc
@@ -39,6 +39,35 @@
   BOOST_TEST(half.Level(workspace, kStart + absl::Seconds(60)) == 600);
 }
 
+// Guards against tokens handed out twice when VMs move from one coordinator to another.
+BOOST_AUTO_TEST_CASE(level_moves_with_the_share) {
+  QuotaLedger old_one(1.0);
+  QuotaLedger new_one(0.0);
+  const auto workspace = MakeWorkspace(1000, 1000);
+  BOOST_TEST(old_one.Admit(workspace, 200, kStart).admitted);
+  BOOST_TEST(new_one.Level(workspace, kStart) == 0);
+  new_one.Reset();
+  for (const double moved : {0.25, 0.5, 1.0}) {
+    old_one.SetShare(1.0 - moved);
+    new_one.SetShare(moved);
+    new_one.LowerTo(workspace, 300, kStart);
+    BOOST_TEST(old_one.Level(workspace, kStart) + new_one.Level(workspace, kStart) == 300);
+  }
+}
+
+// Guards against a VM that hands out the whole of a nearly spent burst when it loses its
+// coordinator.
+BOOST_AUTO_TEST_CASE(level_is_lowered_to_the_part_of_what_the_fleet_has_left) {
+  QuotaLedger ledger(0.5);
+  const auto workspace = MakeWorkspace(1000, 1000);
+  ledger.LowerTo(workspace, 100, kStart);
+  BOOST_TEST(ledger.Level(workspace, kStart) == 50);
+  ledger.LowerTo(workspace, 400, kStart);
+  BOOST_TEST(ledger.Level(workspace, kStart) == 50);
+  ledger.LowerTo(workspace, -100, kStart);
+  BOOST_TEST(ledger.Level(workspace, kStart) == -50);
+}
+
 BOOST_AUTO_TEST_CASE(retry_after_is_when_the_tokens_are_there) {
   QuotaLedger ledger;
   const auto workspace = MakeWorkspace(1000, 1000);
--- a/packages/fleet/include/marigoldquay/fleet/coordinator.h
+++ b/packages/fleet/include/marigoldquay/fleet/coordinator.h
@@ -28,6 +28,8 @@
   virtual const std::vector<FleetMember>& listed_members() const = 0;
   /// When the list was last read.
   virtual absl::Time read_at() const = 0;
+  /// Whether the list has been read for long enough that VMs started at the same time are in it.
+  virtual bool settled() const = 0;
 };
 
 class Coordinator {
@@ -49,9 +51,11 @@
 
  private:
   struct Session {
-    std::shared_ptr<FrameConnection> connection;
+    FrameConnectionPtr connection;
     FleetMember member;
     bool reported = false;
+    // Number of VMs that it had last heard of when the session began; 0 when unknown.
+    std::size_t known_members = 0;
     // What the VM was told last.
     std::uint64_t sent_members = 0;
     std::uint64_t sent_replicas = 0;
@@ -60,22 +64,28 @@
   };
   // A demand that waits for engines.
   struct Waiting {
-    std::weak_ptr<Session> session;
+    // Ends all its waiting demands before it ends itself.
+    Session* session = nullptr;
     std::uint64_t call_id = 0;
     RequestId request_id;
   };
   using TicketKey = std::pair<std::string, std::uint64_t>;
 
   void Accept(Yield yield);
-  void Serve(const std::shared_ptr<Session>& session, Yield yield);
-  void OnFrame(const std::shared_ptr<Session>& session, const Frame& frame);
+  void Serve(Tcp::socket socket, Yield yield);
+  void EndSession(Session& session, const std::string& why);
+  void OnFrame(Session& session, const Frame& frame);
   void OnReport(Session& session, const protocol::FleetReportT& report);
-  void OnPlace(const std::shared_ptr<Session>& session, std::uint64_t call_id,
+  // Takes over what a VM knows of the fleet from its previous coordinator.
+  void OnFirstReport(Session& session, const protocol::FleetReportT& report);
+  std::size_t ReportingSessions() const;
+  void UpdateQuotaShare();
+  void OnPlace(Session& session, std::uint64_t call_id,
                const protocol::PlaceStreamRequestT& request);
   void OnProgress(Session& session, const protocol::StreamProgressMessageT& message);
   bool Charge(const protocol::PlaceStreamRequestT& request, protocol::PlaceStreamReplyT& refusal);
-  void Answer(const std::shared_ptr<Session>& session, std::uint64_t call_id,
-              const std::string& service, const StreamDecision& decision);
+  void Answer(Session& session, std::uint64_t call_id, const std::string& service,
+              const StreamDecision& decision);
   StreamScheduler& SchedulerOf(const std::string& service);
   void RunWaiting(Yield yield);
   void SendStates(Yield yield);
@@ -93,11 +103,11 @@
   const FleetMember self_;
   std::function<absl::Time()> last_store_contact_;
   Tcp::acceptor acceptor_;
-  // Shared with the fibers that serve them.
-  std::set<std::shared_ptr<Session>> sessions_;
+  // Owned by the fibers that serve them.
+  std::set<Session*> sessions_;
   std::map<std::string, StreamScheduler> schedulers_;
   std::map<TicketKey, Waiting> waiting_;
-  QuotaLedger quota_;
+  QuotaLedger quota_{0};
   // Reporting members as they were last sent, and how often they have changed.
   std::vector<FleetMember> members_;
   std::uint64_t members_version_ = 0;
--- a/packages/fleet/include/marigoldquay/fleet/coordinator_link.h
+++ b/packages/fleet/include/marigoldquay/fleet/coordinator_link.h
@@ -63,11 +63,20 @@
   /// Members that the coordinator last named, and this VM.
   std::vector<FleetMember> members() const;
   /// How many VMs share the quotas.
-  std::size_t member_count() const { return member_count_; }
+  std::size_t member_count() const { return member_count_ > 0 ? member_count_ : kAssumedMembers; }
 
  private:
+  // A call that waits for answers; listed for as long as it exists.
   struct Call {
-    explicit Call(asio::io_context& io) : wake(io) {}
+    explicit Call(CoordinatorLink& owner) : link(owner), id(owner.next_call_++), wake(owner.io_) {
+      link.calls_[id] = this;
+    }
+    ~Call() { link.calls_.erase(id); }
+    Call(const Call&) = delete;
+    Call& operator=(const Call&) = delete;
+
+    CoordinatorLink& link;
+    const std::uint64_t id;
     asio::steady_timer wake;
     // Answers in the order of arrival; a queued call gets two.
     std::vector<protocol::PlaceStreamReplyT> replies;
@@ -96,7 +105,7 @@
   void ServeSession(Yield yield);
   void EndSession(const std::string& why);
   bool TrySwitch(const FleetMember& preferred, Yield yield);
-  void StartSession(std::shared_ptr<FrameConnection> connection, const FleetMember& peer);
+  void StartSession(FrameConnectionPtr connection, const FleetMember& peer);
   void OnFrame(const Frame& frame, Yield yield);
   void OnState(const protocol::FleetStateT& state, Yield yield);
   void OnReply(std::uint64_t call_id, const protocol::PlaceStreamReplyT& reply);
@@ -117,6 +126,9 @@
   std::optional<QuotaDecision> AskForTokens(const CatalogWorkspace& workspace, TokenCount tokens,
                                             Cancellation& cancellation, Yield yield);
   bool Responsive() const;
+  QuotaDecision AdmitLocally(const CatalogWorkspace& workspace, TokenCount tokens);
+  // Decides on its own from now on: the local ledger continues from the last known levels.
+  void BecomeSilent();
 
   asio::io_context& io_;
   const Clock& clock_;
@@ -125,12 +137,13 @@
   FeedSink& feed_;
   std::function<FleetMember()> self_;
 
-  // Shared with the handlers of its writes; null while there is no session.
-  std::shared_ptr<FrameConnection> connection_;
+  // Null while there is no session.
+  FrameConnectionPtr connection_;
   FleetMember coordinator_;
   std::uint64_t session_ = 0;
   std::uint64_t next_call_ = 1;
-  std::map<std::uint64_t, std::shared_ptr<Call>> calls_;
+  // Owned by the fibers that wait for them.
+  std::map<std::uint64_t, Call*> calls_;
   // Calls whose reply no fiber waits for. Cleared with the session.
   std::map<std::uint64_t, Unclaimed> unclaimed_;
   std::map<std::uint64_t, Active> active_;
@@ -138,14 +151,18 @@
   std::map<Address, absl::Time> cooling_down_until_;
 
   std::vector<FleetMember> members_;
-  std::size_t member_count_ = 1;
+  // 0 until a coordinator has named it.
+  std::size_t member_count_ = 0;
   absl::Duration report_interval_ = absl::Milliseconds(250);
   // When what the coordinator last passed on was read from the store.
   absl::Time feed_time_ = absl::InfinitePast();
   absl::Time last_frame_ = absl::InfinitePast();
   // Set when a call was not answered in time, until the coordinator is heard again.
   bool silent_ = false;
-  // Levels that the coordinator last named; workspaces that it leaves out have half of their burst.
+  // Session whose first report has been sent.
+  std::uint64_t reported_session_ = 0;
+  // Levels that a coordinator last named; workspaces that it leaves out have half of their burst.
+  // Kept after the session, for the next coordinator and for the local ledger.
   std::map<WorkspaceId, TokenCount> balances_;
   // Admitted here without asking, since the last report and since the last state.
   std::map<WorkspaceId, TokenCount> spent_;
--- a/packages/fleet/include/marigoldquay/fleet/member.h
+++ b/packages/fleet/include/marigoldquay/fleet/member.h
@@ -2,6 +2,7 @@
 #ifndef MARIGOLDQUAY_FLEET_MEMBER_H_
 #define MARIGOLDQUAY_FLEET_MEMBER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -13,6 +14,10 @@
 
 namespace marigoldquay {
 
+/// Taken for the number of VMs while it is unknown. A VM that took itself for the only one would
+/// hand out every quota a second time; deployments have 6 to 9 entry VMs.
+inline constexpr std::size_t kAssumedMembers = 10;
+
 /// One run of the daemon on a VM.
 struct FleetMember {
   Instance instance;
--- a/packages/fleet/include/marigoldquay/fleet/presence_keeper.h
+++ b/packages/fleet/include/marigoldquay/fleet/presence_keeper.h
@@ -32,8 +32,12 @@
 
   const std::vector<FleetMember>& listed_members() const override { return listed_; }
   absl::Time read_at() const override { return read_at_; }
+  bool settled() const override { return read_at_ - first_read_at_ >= kSettleTime; }
 
  private:
+  // VMs that start together announce themselves within this time, unless the store is away.
+  static constexpr absl::Duration kSettleTime = absl::Milliseconds(1500);
+
   void ReadMembers(Yield yield);
 
   asio::io_context& io_;
@@ -43,6 +47,7 @@
   // In the order of coordination; never empty.
   std::vector<FleetMember> listed_;
   std::function<bool()> needs_members_;
+  absl::Time first_read_at_ = absl::InfiniteFuture();
   absl::Time read_at_ = absl::InfinitePast();
   bool leaving_ = false;
 };
--- a/packages/fleet/src/coordinator.cc
+++ b/packages/fleet/src/coordinator.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/cleanup/cleanup.h"
 #include "absl/container/flat_hash_set.h"
 #include "absl/strings/str_cat.h"
 #include "marigoldquay/core/logger.h"
@@ -87,43 +88,49 @@
       SleepFor(io_, kAdvanceInterval, yield);
       continue;
     }
-    auto session = std::make_shared<Session>();
-    session->connection = FrameConnection::Make(std::move(socket));
-    sessions_.insert(session);
-    SpawnFiber(io_, "serve VM", [this, session](Yield inner) { Serve(session, inner); });
+    SpawnFiber(io_, "serve VM", [this, socket = std::move(socket)](Yield inner) mutable {
+      Serve(std::move(socket), inner);
+    });
   }
 }
 
-void Coordinator::Serve(const std::shared_ptr<Session>& session, Yield yield) {
+void Coordinator::Serve(Tcp::socket socket, Yield yield) {
+  Session session;
+  session.connection = FrameConnection::Make(std::move(socket));
+  sessions_.insert(&session);
   std::string why;
+  const absl::Cleanup end = [&] { EndSession(session, why); };
   while (true) {
-    const auto frame = session->connection->Read(kSessionTimeout, yield);
+    const auto frame = session.connection->Read(kSessionTimeout, yield);
     if (!frame) {
       why = frame.error().ToString();
-      break;
+      return;
     }
     OnFrame(session, *frame);
   }
-  session->connection->Close();
-  sessions_.erase(session);
+}
+
+void Coordinator::EndSession(Session& session, const std::string& why) {
+  session.connection->Close();
+  sessions_.erase(&session);
   // The VM's requests end with it, or it tells them to another coordinator.
-  for (const auto& [service, ticket] : session->tickets) {
+  for (const auto& [service, ticket] : session.tickets) {
     waiting_.erase({service, ticket});
     SchedulerOf(service).OnEnd(ticket, StreamEnd::kCancelled, clock_.Now());
   }
   LogFields fields;
-  fields.Add("vm", session->member.instance.ToString())
+  fields.Add("vm", session.member.instance.ToString())
       .Add("reason", why)
-      .Add("placed", static_cast<std::int64_t>(session->tickets.size()));
+      .Add("placed", static_cast<std::int64_t>(session.tickets.size()));
   Log().Event("vm_session_ended", fields);
 }
 
-void Coordinator::OnFrame(const std::shared_ptr<Session>& session, const Frame& frame) {
-  const std::string& peer = session->connection->peer();
+void Coordinator::OnFrame(Session& session, const Frame& frame) {
+  const std::string& peer = session.connection->peer();
   const auto handle = [&](auto decoded, auto&& action) {
     if (auto* error = std::get_if<1>(&decoded)) {
       Log().Warn("malformed message: ", error->ToString());
-      session->connection->Close();
+      session.connection->Close();
       return;
     }
     action(std::get<0>(decoded));
@@ -132,7 +139,7 @@
     case protocol::MessageType::FleetReport:
       handle(Capture<protocol::FleetReportT>(
                  [&] { return DecodeMessage<protocol::FleetReportT>(frame.payload, peer); }),
-             [&](const auto& report) { OnReport(*session, report); });
+             [&](const auto& report) { OnReport(session, report); });
       break;
     case protocol::MessageType::PlaceStream:
       handle(Capture<protocol::PlaceStreamRequestT>(
@@ -143,22 +150,46 @@
       handle(Capture<protocol::StreamProgressMessageT>([&] {
                return DecodeMessage<protocol::StreamProgressMessageT>(frame.payload, peer);
              }),
-             [&](const auto& message) { OnProgress(*session, message); });
+             [&](const auto& message) { OnProgress(session, message); });
       break;
     default:
       Log().Warn("unexpected message type ", static_cast<int>(frame.header.type), " from ", peer);
   }
 }
 
+void Coordinator::OnFirstReport(Session& session, const protocol::FleetReportT& report) {
+  // While no VM reported here, the tokens were handed out elsewhere.
+  if (ReportingSessions() == 0) quota_.Reset();
+  session.reported = true;
+  session.known_members = report.member_count;
+  UpdateQuotaShare();
+  const auto catalog = view_.catalog();
+  for (const auto& entry : report.levels) {
+    const auto* workspace = catalog ? catalog->FindWorkspace(entry->workspace) : nullptr;
+    if (workspace != nullptr) quota_.LowerTo(*workspace, entry->tokens, clock_.Now());
+  }
+  LogFields fields;
+  fields.Add("vm", session.member.instance.ToString())
+      .Add("sessions", static_cast<std::int64_t>(sessions_.size()))
+      .Add("members", static_cast<std::int64_t>(MemberCount()))
+      .Add("known_members", static_cast<std::int64_t>(session.known_members))
+      .Add("levels", static_cast<std::int64_t>(report.levels.size()));
+  Log().Event("vm_session_started", fields);
+}
+
+std::size_t Coordinator::ReportingSessions() const {
+  return static_cast<std::size_t>(
+      std::count_if(sessions_.begin(), sessions_.end(),
+                    [](const Session* session) { return session->reported; }));
+}
+
+void Coordinator::UpdateQuotaShare() {
+  quota_.SetShare(static_cast<double>(ReportingSessions()) / static_cast<double>(MemberCount()));
+}
+
 void Coordinator::OnReport(Session& session, const protocol::FleetReportT& report) {
   session.member = FromWire(*report.sender);
-  if (!std::exchange(session.reported, true)) {
-    LogFields fields;
-    fields.Add("vm", session.member.instance.ToString())
-        .Add("sessions", static_cast<std::int64_t>(sessions_.size()))
-        .Add("members", static_cast<std::int64_t>(MemberCount()));
-    Log().Event("vm_session_started", fields);
-  }
+  if (!session.reported) OnFirstReport(session, report);
   const auto catalog = view_.catalog();
   if (!catalog) return;
   for (const auto& entry : report.spent) {
@@ -203,20 +234,20 @@
   return false;
 }
 
-void Coordinator::OnPlace(const std::shared_ptr<Session>& session, std::uint64_t call_id,
+void Coordinator::OnPlace(Session& session, std::uint64_t call_id,
                           const protocol::PlaceStreamRequestT& request) {
   const absl::Time now = clock_.Now();
   protocol::PlaceStreamReplyT refusal;
   if (request.service.empty()) {
     // An admitted charge is answered with a grant of no engines.
     (void)Charge(request, refusal);
-    session->connection->Send(protocol::MessageType::PlaceStream, call_id, refusal);
+    session.connection->Send(protocol::MessageType::PlaceStream, call_id, refusal);
     return;
   }
   StreamScheduler& scheduler = SchedulerOf(request.service);
   if (!request.running_on.empty()) {
     const auto ticket = scheduler.Adopt(DemandFromWire(request, now), request.running_on, now);
-    session->tickets.insert({request.service, ticket});
+    session.tickets.insert({request.service, ticket});
     StreamDecision adopted;
     adopted.verdict = StreamVerdict::kGranted;
     adopted.ticket = ticket;
@@ -225,15 +256,15 @@
     return;
   }
   if (!Charge(request, refusal)) {
-    session->connection->Send(protocol::MessageType::PlaceStream, call_id, refusal);
+    session.connection->Send(protocol::MessageType::PlaceStream, call_id, refusal);
     return;
   }
   const auto decision = scheduler.Place(DemandFromWire(request, now), now);
-  LogDecision(request.request_id, session->member.instance.vm, decision, view_.replicas().version(),
+  LogDecision(request.request_id, session.member.instance.vm, decision, view_.replicas().version(),
               scheduler.Describe(now));
   if (decision.verdict == StreamVerdict::kQueued) {
-    waiting_[{request.service, decision.ticket}] = {session, call_id, request.request_id};
-    session->tickets.insert({request.service, decision.ticket});
+    waiting_[{request.service, decision.ticket}] = {&session, call_id, request.request_id};
+    session.tickets.insert({request.service, decision.ticket});
     if (!std::exchange(advancing_, true)) {
       SpawnFiber(io_, "advance waiting", [this](Yield yield) { RunWaiting(yield); });
     }
@@ -241,8 +272,8 @@
   Answer(session, call_id, request.service, decision);
 }
 
-void Coordinator::Answer(const std::shared_ptr<Session>& session, std::uint64_t call_id,
-                         const std::string& service, const StreamDecision& decision) {
+void Coordinator::Answer(Session& session, std::uint64_t call_id, const std::string& service,
+                         const StreamDecision& decision) {
   protocol::PlaceStreamReplyT reply;
   reply.ticket = decision.ticket;
   reply.reason = decision.reason;
@@ -252,7 +283,7 @@
       reply.prefill_server = decision.prefill.value_or("");
       reply.decode_server = decision.decode;
       reply.expected_ms = static_cast<std::uint32_t>(absl::ToInt64Milliseconds(decision.expected));
-      session->tickets.insert({service, decision.ticket});
+      session.tickets.insert({service, decision.ticket});
       break;
     case StreamVerdict::kQueued:
       reply.status = protocol::PlaceStreamStatus::Queued;
@@ -261,10 +292,10 @@
       reply.status = protocol::PlaceStreamStatus::Refused;
       reply.retry_after_ms =
           static_cast<std::uint32_t>(absl::ToInt64Milliseconds(decision.retry_after));
-      session->tickets.erase({service, decision.ticket});
+      session.tickets.erase({service, decision.ticket});
       break;
   }
-  session->connection->Send(protocol::MessageType::PlaceStream, call_id, reply);
+  session.connection->Send(protocol::MessageType::PlaceStream, call_id, reply);
 }
 
 void Coordinator::OnProgress(Session& session, const protocol::StreamProgressMessageT& message) {
@@ -315,10 +346,9 @@
         if (found == waiting_.end()) continue;
         const Waiting waiting = found->second;
         waiting_.erase(found);
-        const auto session = waiting.session.lock();
-        LogDecision(waiting.request_id, session ? session->member.instance.vm : "", decision,
+        LogDecision(waiting.request_id, waiting.session->member.instance.vm, decision,
                     view_.replicas().version(), scheduler.Describe(clock_.Now()));
-        if (session) Answer(session, waiting.call_id, service, decision);
+        Answer(*waiting.session, waiting.call_id, service, decision);
       }
     }
   }
@@ -331,7 +361,11 @@
   for (const auto& session : sessions_) {
     if (session->reported) vms.insert(session->member.instance.vm);
   }
-  return std::max<std::size_t>(vms.size(), 1);
+  const std::size_t seen = std::max<std::size_t>(vms.size(), 1);
+  if (source_.settled()) return seen;
+  std::size_t known = 0;
+  for (const auto& session : sessions_) known = std::max(known, session->known_members);
+  return std::max(seen, known > 0 ? known : kAssumedMembers);
 }
 
 FleetMember Coordinator::Preferred() const {
@@ -404,9 +438,7 @@
     if (sessions_.empty()) continue;
     // Each coordinator hands out the part of the VMs that report to it, so that two of them at once
     // stay within the rates together.
-    const auto reporting = std::count_if(sessions_.begin(), sessions_.end(),
-                                         [](const auto& session) { return session->reported; });
-    quota_.SetShare(static_cast<double>(reporting) / static_cast<double>(MemberCount()));
+    UpdateQuotaShare();
     CountMemberChanges();
     auto state = MakeState();
     for (const auto& session : sessions_) {
--- a/packages/fleet/src/coordinator_link.cc
+++ b/packages/fleet/src/coordinator_link.cc
@@ -75,8 +75,7 @@
   }
 }
 
-void CoordinatorLink::StartSession(std::shared_ptr<FrameConnection> connection,
-                                   const FleetMember& peer) {
+void CoordinatorLink::StartSession(FrameConnectionPtr connection, const FleetMember& peer) {
   connection_ = std::move(connection);
   coordinator_ = peer;
   ++session_;
@@ -126,7 +125,7 @@
   cooling_down_until_[coordinator_.inner_address] = clock_.Now() + kCoolDown;
   if (connection_) connection_->Close();
   connection_ = nullptr;
-  balances_.clear();
+  BecomeSilent();
   for (auto& [id, call] : calls_) {
     call->session_ended = true;
     call->wake.cancel();
@@ -180,7 +179,7 @@
     members_.clear();
     for (const auto& member : state.members) members_.push_back(FromWire(*member));
   }
-  member_count_ = std::max<std::size_t>(state.member_count, 1);
+  member_count_ = state.member_count;
   report_interval_ = absl::Milliseconds(std::max<std::uint32_t>(state.interval_ms, 50));
   balances_.clear();
   for (const auto& entry : state.balances) balances_[entry->workspace] = entry->tokens;
@@ -241,6 +240,15 @@
     report.spent.push_back(std::move(entry));
   }
   spent_.clear();
+  if (std::exchange(reported_session_, session_) != session_) {
+    report.member_count = static_cast<std::uint32_t>(member_count_);
+    for (const auto& [workspace, tokens] : balances_) {
+      auto entry = std::make_unique<protocol::WorkspaceTokensT>();
+      entry->workspace = workspace;
+      entry->tokens = tokens;
+      report.levels.push_back(std::move(entry));
+    }
+  }
   connection_->Send(protocol::MessageType::FleetReport, 0, report);
 }
 
--- a/packages/fleet/src/coordinator_link_placing.cc
+++ b/packages/fleet/src/coordinator_link_placing.cc
@@ -49,6 +49,26 @@
 
 bool CoordinatorLink::Responsive() const { return connection_ != nullptr && !silent_; }
 
+void CoordinatorLink::BecomeSilent() {
+  if (std::exchange(silent_, true)) return;
+  local_quota_.SetShare(LocalShare());
+  local_quota_.Reset();
+  const auto catalog = view_.catalog();
+  if (!catalog) return;
+  for (const auto& [name, level] : balances_) {
+    const auto* workspace = catalog->FindWorkspace(name);
+    if (workspace != nullptr) local_quota_.LowerTo(*workspace, level, clock_.Now());
+  }
+}
+
+QuotaDecision CoordinatorLink::AdmitLocally(const CatalogWorkspace& workspace, TokenCount tokens) {
+  local_quota_.SetShare(LocalShare());
+  const auto decision = local_quota_.Admit(workspace, tokens, clock_.Now());
+  // A coordinator that is only slow counts these when it is heard again.
+  if (decision.admitted && connection_) spent_[workspace.name] += tokens;
+  return decision;
+}
+
 const protocol::PlaceStreamReplyT* CoordinatorLink::AwaitReply(Call& call, std::size_t index,
                                                                absl::Time until,
                                                                Cancellation& cancellation,
@@ -68,28 +88,23 @@
 
 std::optional<PlacementOutcome> CoordinatorLink::PlaceByCoordinator(
     const StreamPlacementRequest& request, Cancellation& cancellation, Yield yield) {
-  const std::uint64_t call_id = next_call_++;
-  // Shared with the table of calls, from which a reply may come while this fiber waits.
-  const auto call = std::make_shared<Call>(io_);
-  calls_[call_id] = call;
+  Call call(*this);
   const std::uint64_t session = session_;
-  connection_->Send(protocol::MessageType::PlaceStream, call_id,
+  connection_->Send(protocol::MessageType::PlaceStream, call.id,
                     internal::ToWire(request, clock_.Now()));
-  const auto* reply = AwaitReply(*call, 0, clock_.Now() + kFirstReplyTimeout, cancellation, yield);
+  const auto* reply = AwaitReply(call, 0, clock_.Now() + kFirstReplyTimeout, cancellation, yield);
   if (reply != nullptr && !IsFinal(*reply)) {
-    reply = AwaitReply(*call, 1, request.demand.give_up, cancellation, yield);
+    reply = AwaitReply(call, 1, request.demand.give_up, cancellation, yield);
   } else if (reply == nullptr && !cancellation.cancelled()) {
-    silent_ = true;
+    BecomeSilent();
   }
-  calls_.erase(call_id);
   if (reply == nullptr) {
     // A queued or late placement must not keep engines reserved.
     if (session == session_) {
-      if (call->replies.empty()) {
-        unclaimed_[call_id] = {request.service, 0};
+      if (call.replies.empty()) {
+        unclaimed_[call.id] = {request.service, 0};
       } else {
-        SendProgress(request.service, call->replies.front().ticket,
-                     protocol::StreamStep::Cancelled);
+        SendProgress(request.service, call.replies.front().ticket, protocol::StreamStep::Cancelled);
       }
     }
     return std::nullopt;
@@ -128,9 +143,7 @@
   return PlaceLocally(request);
 }
 
-double CoordinatorLink::LocalShare() const {
-  return 1.0 / static_cast<double>(std::max<std::size_t>(member_count_, 1));
-}
+double CoordinatorLink::LocalShare() const { return 1.0 / static_cast<double>(member_count()); }
 
 StreamScheduler& CoordinatorLink::LocalScheduler(const std::string& service) {
   const auto found = local_schedulers_.find(service);
@@ -155,8 +168,7 @@
   const auto catalog = view_.catalog();
   const auto* workspace = catalog ? catalog->FindWorkspace(request.workspace) : nullptr;
   if (workspace != nullptr && request.charge > 0) {
-    local_quota_.SetShare(LocalShare());
-    const auto decision = local_quota_.Admit(*workspace, request.charge, now);
+    const auto decision = AdmitLocally(*workspace, request.charge);
     if (!decision.admitted) {
       return PlacementRefusal{true, decision.retry_after, "beyond the rate of the workspace"};
     }
@@ -232,7 +244,7 @@
   const TokenCount level =
       found != balances_.end() ? found->second : workspace.quota.burst / kLeftOutPart;
   // All VMs together admit no more than the level.
-  return std::max<TokenCount>(level, 0) / static_cast<TokenCount>(member_count_);
+  return std::max<TokenCount>(level, 0) / static_cast<TokenCount>(member_count());
 }
 
 std::optional<QuotaDecision> CoordinatorLink::AskForTokens(const CatalogWorkspace& workspace,
@@ -242,15 +254,11 @@
   protocol::PlaceStreamRequestT request;
   request.workspace = workspace.name;
   request.charge = tokens;
-  const std::uint64_t call_id = next_call_++;
-  // Shared with the table of calls, from which a reply may come while this fiber waits.
-  const auto call = std::make_shared<Call>(io_);
-  calls_[call_id] = call;
-  connection_->Send(protocol::MessageType::PlaceStream, call_id, request);
-  const auto* reply = AwaitReply(*call, 0, clock_.Now() + kFirstReplyTimeout, cancellation, yield);
-  calls_.erase(call_id);
+  Call call(*this);
+  connection_->Send(protocol::MessageType::PlaceStream, call.id, request);
+  const auto* reply = AwaitReply(call, 0, clock_.Now() + kFirstReplyTimeout, cancellation, yield);
   if (reply == nullptr) {
-    if (!cancellation.cancelled()) silent_ = true;
+    if (!cancellation.cancelled()) BecomeSilent();
     return std::nullopt;
   }
   if (reply->status == protocol::PlaceStreamStatus::Granted) {
@@ -278,8 +286,7 @@
     const auto decision = AskForTokens(workspace, tokens, cancellation, yield);
     if (decision) return *decision;
   }
-  local_quota_.SetShare(LocalShare());
-  return local_quota_.Admit(workspace, tokens, clock_.Now());
+  return AdmitLocally(workspace, tokens);
 }
 
 }  // namespace marigoldquay
--- a/packages/fleet/src/presence_keeper.cc
+++ b/packages/fleet/src/presence_keeper.cc
@@ -1,6 +1,7 @@
 // Presence in the platform's store.
 #include "marigoldquay/fleet/presence_keeper.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "marigoldquay/core/logger.h"
@@ -49,6 +50,7 @@
   // The list does not name this VM right after it has joined.
   if (members.empty()) return;
   read_at_ = clock_.Now();
+  first_read_at_ = std::min(first_read_at_, read_at_);
   SortForCoordination(members);
   if (members == listed_) return;
   listed_ = std::move(members);
--- a/packages/protocol/include/marigoldquay/protocol/inner_generated.h
+++ b/packages/protocol/include/marigoldquay/protocol/inner_generated.h
@@ -4784,6 +4784,8 @@
   }
   std::unique_ptr<marigoldquay::protocol::FleetMemberT> sender{};
   std::vector<std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT>> spent{};
+  uint32_t member_count = 0;
+  std::vector<std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT>> levels{};
   FleetReportT() = default;
   FleetReportT(const FleetReportT &o);
   FleetReportT(FleetReportT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4799,7 +4801,9 @@
   }
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SENDER = 4,
-    VT_SPENT = 6
+    VT_SPENT = 6,
+    VT_MEMBER_COUNT = 8,
+    VT_LEVELS = 10
   };
   const marigoldquay::protocol::FleetMember *sender() const {
     return GetPointer<const marigoldquay::protocol::FleetMember *>(VT_SENDER);
@@ -4807,6 +4811,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>> *spent() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>> *>(VT_SPENT);
   }
+  uint32_t member_count() const {
+    return GetField<uint32_t>(VT_MEMBER_COUNT, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>> *levels() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>> *>(VT_LEVELS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_SENDER) &&
@@ -4814,6 +4824,10 @@
            VerifyOffset(verifier, VT_SPENT) &&
            verifier.VerifyVector(spent()) &&
            verifier.VerifyVectorOfTables(spent()) &&
+           VerifyField<uint32_t>(verifier, VT_MEMBER_COUNT, 4) &&
+           VerifyOffset(verifier, VT_LEVELS) &&
+           verifier.VerifyVector(levels()) &&
+           verifier.VerifyVectorOfTables(levels()) &&
            verifier.EndTable();
   }
   FleetReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4831,6 +4845,12 @@
   void add_spent(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>>> spent) {
     fbb_.AddOffset(FleetReport::VT_SPENT, spent);
   }
+  void add_member_count(uint32_t member_count) {
+    fbb_.AddElement<uint32_t>(FleetReport::VT_MEMBER_COUNT, member_count, 0);
+  }
+  void add_levels(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>>> levels) {
+    fbb_.AddOffset(FleetReport::VT_LEVELS, levels);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4846,8 +4866,12 @@
 inline flatbuffers::Offset<FleetReport> CreateFleetReport(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<marigoldquay::protocol::FleetMember> sender = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>>> spent = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>>> spent = 0,
+    uint32_t member_count = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>>> levels = 0) {
   FleetReportBuilder builder_(_fbb);
+  builder_.add_levels(levels);
+  builder_.add_member_count(member_count);
   builder_.add_spent(spent);
   builder_.add_sender(sender);
   return builder_.Finish();
@@ -4861,12 +4885,17 @@
 inline flatbuffers::Offset<FleetReport> CreateFleetReportDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<marigoldquay::protocol::FleetMember> sender = 0,
-    const std::vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>> *spent = nullptr) {
+    const std::vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>> *spent = nullptr,
+    uint32_t member_count = 0,
+    const std::vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>> *levels = nullptr) {
   auto spent__ = spent ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>>(*spent) : 0;
+  auto levels__ = levels ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>>(*levels) : 0;
   return marigoldquay::protocol::CreateFleetReport(
       _fbb,
       sender,
-      spent__);
+      spent__,
+      member_count,
+      levels__);
 }
 
 flatbuffers::Offset<FleetReport> CreateFleetReport(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -7762,7 +7791,9 @@
 inline bool operator==(const FleetReportT &lhs, const FleetReportT &rhs) {
   return
       ((lhs.sender == rhs.sender) || (lhs.sender && rhs.sender && *lhs.sender == *rhs.sender)) &&
-      (lhs.spent.size() == rhs.spent.size() && std::equal(lhs.spent.cbegin(), lhs.spent.cend(), rhs.spent.cbegin(), [](std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT> const &a, std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT> const &b) { return (a == b) || (a && b && *a == *b); }));
+      (lhs.spent.size() == rhs.spent.size() && std::equal(lhs.spent.cbegin(), lhs.spent.cend(), rhs.spent.cbegin(), [](std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT> const &a, std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
+      (lhs.member_count == rhs.member_count) &&
+      (lhs.levels.size() == rhs.levels.size() && std::equal(lhs.levels.cbegin(), lhs.levels.cend(), rhs.levels.cbegin(), [](std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT> const &a, std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT> const &b) { return (a == b) || (a && b && *a == *b); }));
 }
 
 inline bool operator!=(const FleetReportT &lhs, const FleetReportT &rhs) {
@@ -7771,14 +7802,19 @@
 
 
 inline FleetReportT::FleetReportT(const FleetReportT &o)
-      : sender((o.sender) ? new marigoldquay::protocol::FleetMemberT(*o.sender) : nullptr) {
+      : sender((o.sender) ? new marigoldquay::protocol::FleetMemberT(*o.sender) : nullptr),
+        member_count(o.member_count) {
   spent.reserve(o.spent.size());
   for (const auto &spent_ : o.spent) { spent.emplace_back((spent_) ? new marigoldquay::protocol::WorkspaceTokensT(*spent_) : nullptr); }
+  levels.reserve(o.levels.size());
+  for (const auto &levels_ : o.levels) { levels.emplace_back((levels_) ? new marigoldquay::protocol::WorkspaceTokensT(*levels_) : nullptr); }
 }
 
 inline FleetReportT &FleetReportT::operator=(FleetReportT o) FLATBUFFERS_NOEXCEPT {
   std::swap(sender, o.sender);
   std::swap(spent, o.spent);
+  std::swap(member_count, o.member_count);
+  std::swap(levels, o.levels);
   return *this;
 }
 
@@ -7793,6 +7829,8 @@
   (void)_resolver;
   { auto _e = sender(); if (_e) _o->sender = std::unique_ptr<marigoldquay::protocol::FleetMemberT>(_e->UnPack(_resolver)); }
   { auto _e = spent(); if (_e) { _o->spent.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->spent[_i] = std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = member_count(); _o->member_count = _e; }
+  { auto _e = levels(); if (_e) { _o->levels.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->levels[_i] = std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<FleetReport> FleetReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7805,10 +7843,14 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const FleetReportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _sender = _o->sender ? CreateFleetMember(_fbb, _o->sender.get(), _rehasher) : 0;
   auto _spent = _o->spent.size() ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>> (_o->spent.size(), [](size_t i, _VectorArgs *__va) { return CreateWorkspaceTokens(*__va->__fbb, __va->__o->spent[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _member_count = _o->member_count;
+  auto _levels = _o->levels.size() ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>> (_o->levels.size(), [](size_t i, _VectorArgs *__va) { return CreateWorkspaceTokens(*__va->__fbb, __va->__o->levels[i].get(), __va->__rehasher); }, &_va ) : 0;
   return marigoldquay::protocol::CreateFleetReport(
       _fbb,
       _sender,
-      _spent);
+      _spent,
+      _member_count,
+      _levels);
 }
 
 
--- a/tests/platform/platform_quota_test.cc
+++ b/tests/platform/platform_quota_test.cc
@@ -1,4 +1,5 @@
 // The quota of a workspace over several real daemons whose coordinator is killed.
+#include <algorithm>
 #include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <thread>
@@ -51,6 +52,40 @@
   BOOST_TEST(refused > 0);
 }
 
+// VMs that have just started do not know each other yet; each taking itself for the only one would
+// hand out three bursts.
+BOOST_AUTO_TEST_CASE(quota_holds_from_the_start_of_all_vms) {
+  WorldOptions options;
+  options.name = "quota-start";
+  options.vms = 3;
+  options.rate = 2000;
+  World world(options);
+  const absl::Time started = absl::Now();
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 6; ++i) {
+    callers.emplace_back([&world, i, started] {
+      while (absl::Now() < started + absl::Seconds(4)) {
+        CallerCall call;
+        call.id = NewRequestId();
+        call.headers = {"Token-Count: 90,10"};
+        if (world.Call(i % 3, call).status != 200) absl::SleepFor(absl::Milliseconds(20));
+      }
+    });
+  }
+  for (auto& caller : callers) caller.join();
+  std::size_t runs = 0;
+  absl::Time first = absl::InfiniteFuture();
+  for (const auto& run : world.Seen().runs) {
+    ++runs;
+    first = std::min(first, run.started);
+  }
+  const double tokens = 100.0 * static_cast<double>(runs);
+  const double seconds = absl::ToDoubleSeconds(absl::Now() - first);
+  BOOST_TEST_MESSAGE("tokens " << tokens << " in " << seconds << " s after the first run");
+  BOOST_TEST(runs > 0U);
+  BOOST_TEST(tokens <= 2000 * seconds + 2000);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
