--- a/tests/platform/fake_replica.cc
+++ b/tests/platform/fake_replica.cc
@@ -38,9 +38,9 @@
   if (!started) ledger_.violations.push_back(started.error().ToString());
 }
 
-std::string FakeReplica::Entry(const std::string& state) const {
+std::string FakeReplica::Entry(const std::string& state, const Address& address) const {
   boost::json::object entry{{"service", options_.service},
-                            {"address", address()},
+                            {"address", address},
                             {"zone", options_.availability_zone},
                             {"version", "v1"},
                             {"slots", 8},
--- a/tests/platform/fake_replica.h
+++ b/tests/platform/fake_replica.h
@@ -81,8 +81,8 @@
 
   const ReplicaOptions& options() const { return options_; }
   Address address() const { return listener_.address(); }
-  /// Its entry in the store.
-  std::string Entry(const std::string& state) const;
+  /// Its entry in the store, where `address` may be that of a proxy.
+  std::string Entry(const std::string& state, const Address& address) const;
   /// Refuses connections from now on.
   void Stop() { listener_.StopAccepting(); }
 
--- a/tests/platform/world.cc
+++ b/tests/platform/world.cc
@@ -73,17 +73,29 @@
   });
   if (options_.with_configuration) Configure();
   for (int i = 0; i < options_.vms; ++i) {
-    vms_.push_back({FreePorts(kPortsPerVm), Process()});
+    vms_.push_back({FreePorts(kPortsPerVm), Process(), nullptr});
+    if (options_.proxied) {
+      Run([&] {
+        vms_.back().store_link = std::make_unique<LinkProxy>(io_, store_listener_->address());
+      });
+    }
     StartVm(i);
   }
 }
 
 World::~World() {
-  vms_.clear();
+  for (auto& vm : vms_) vm.process.Kill();
   io_.stop();
   thread_.join();
 }
 
+std::string World::Entry(const std::string& id, const std::string& state) const {
+  const auto link = server_links_.find(id);
+  const auto& replica = *replicas_.at(id);
+  return replica.Entry(state,
+                       link == server_links_.end() ? replica.address() : link->second->address());
+}
+
 void World::AddReplica(const std::string& id, const std::string& service,
                        const std::string& phase) {
   ReplicaOptions replica;
@@ -92,7 +104,10 @@
   replica.phase = phase;
   replica.behavior = [this, id] { return options_.behavior(id); };
   replicas_[id] = std::make_unique<FakeReplica>(io_, ledger_, replica);
-  store_->Put("keyed.servers", id, replicas_[id]->Entry("ready"));
+  if (options_.proxied) {
+    server_links_[id] = std::make_unique<LinkProxy>(io_, replicas_[id]->address());
+  }
+  store_->Put("keyed.servers", id, Entry(id, "ready"));
 }
 
 void World::Run(const std::function<void()>& action) {
@@ -142,6 +157,8 @@
 void World::StartVm(int index) {
   auto& vm = vms_[static_cast<std::size_t>(index)];
   const int base = vm.base_port;
+  const Address store_address =
+      vm.store_link ? vm.store_link->address() : store_listener_->address();
   boost::json::object settings{
       {"node", absl::StrCat("vm-", index)},
       {"ip", "127.0.0.1"},
@@ -157,7 +174,7 @@
         {"budgetRatio", 0.2},
         {"budgetBurst", 52},
         {"budgetWindowS", 10}}},
-      {"platform", {{"address", store_listener_->address()}, {"ttlMinMs", 1000}, {"parts", 12}}}};
+      {"platform", {{"address", store_address}, {"ttlMinMs", 1000}, {"parts", 12}}}};
   std::ofstream(SettingsPath(index)) << boost::json::serialize(settings);
   // Another build of the daemon can be tried with the same tests.
   const char* other_daemon = std::getenv("MARIGOLDQUAY_DAEMON");
@@ -236,7 +253,7 @@
 }
 
 void World::Announce(const std::string& id, const std::string& state) {
-  Run([&] { store_->Put("keyed.servers", id, replicas_.at(id)->Entry(state)); });
+  Run([&] { store_->Put("keyed.servers", id, Entry(id, state)); });
 }
 
 void World::Crash(const std::string& id) {
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -12,6 +12,7 @@
 
 #include "fake_replica.h"
 #include "fake_store.h"
+#include "link_proxy.h"
 #include "process.h"
 #include "test_http.h"
 
@@ -32,6 +33,8 @@
     return ReplicaBehavior::kNormal;
   };
   bool with_configuration = true;
+  /// Puts a LinkProxy before the store, one per VM, and before every backend server.
+  bool proxied = false;
   std::string name = "world";
 };
 
@@ -76,6 +79,10 @@
 
   FakeStore& store() { return *store_; }
   ReplicaLedger& ledger() { return ledger_; }
+  /// Only with `proxied`, on the thread of the stand-ins.
+  LinkProxy& store_link(int index) { return *vms_[static_cast<std::size_t>(index)].store_link; }
+  LinkProxy& server_link(const std::string& id) { return *server_links_.at(id); }
+  asio::io_context& io() { return io_; }
   /// Copy of what the backend servers saw.
   ReplicaLedger Seen();
   /// Runs of the request.
@@ -91,8 +98,10 @@
   struct Vm {
     int base_port = 0;
     Process process;
+    std::unique_ptr<LinkProxy> store_link;
   };
 
+  std::string Entry(const std::string& id, const std::string& state) const;
   void AddReplica(const std::string& id, const std::string& service, const std::string& phase);
 
   const WorldOptions options_;
@@ -101,6 +110,7 @@
   std::unique_ptr<HttpListener> store_listener_;
   ReplicaLedger ledger_;
   std::map<std::string, std::unique_ptr<FakeReplica>> replicas_;
+  std::map<std::string, std::unique_ptr<LinkProxy>> server_links_;
   std::vector<Vm> vms_;
   std::uint64_t version_ = 0;
   std::thread thread_;
--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -105,6 +105,10 @@
   if (pid_ > 0) kill(pid_, SIGTERM);
 }
 
+void Process::Reload() const {
+  if (pid_ > 0) kill(pid_, SIGHUP);
+}
+
 std::optional<int> Process::Wait(absl::Duration timeout) {
   if (pid_ <= 0) return status_;
   int status = 0;
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -38,6 +38,8 @@
   void Resume() const;
   /// SIGTERM, without waiting.
   void Terminate() const;
+  /// SIGHUP.
+  void Reload() const;
   /// Exit status (128 + N after signal N); nullopt when it still runs after `timeout`.
   std::optional<int> Wait(absl::Duration timeout);
 
