Let quota debts not grow with a coordinator's share

Cause: levels were scaled with the share of a ledger. A request that a coordinator admits while one of 79 VMs reports to it left a debt that grew 79 times as the others joined. Change: a share that grows adds a part that starts like a new bucket, with no more than the levels that the joining VM brings; one that comes back adds nothing. A VM that has just started waits up to 0.5 s for the list of members before it coordinates itself. Ruled out: more generous first levels, which exceed the quota.

--- a/packages/dispatch/include/marigoldquay/dispatch/quota_ledger.h
+++ b/packages/dispatch/include/marigoldquay/dispatch/quota_ledger.h
@@ -36,8 +36,9 @@
   /// such a tolerance, so that refusing less than it allows would refuse requests within the quota.
   void SetTolerance(TokenCount tokens) { tolerance_ = tokens; }
 
-  /// Changes the share. Levels change in proportion, so that ledgers whose shares still add up to
-  /// one hand out no token twice.
+  /// Changes the share. A lower one takes its part of each level away. A share that is higher than
+  /// any before adds a part that starts like a new bucket; one that comes back adds nothing, as
+  /// what it had may be spent elsewhere.
   void SetShare(double share) { share_ = std::clamp(share, 0.0, 1.0); }
   double share() const { return share_; }
 
@@ -46,8 +47,9 @@
   QuotaDecision Admit(const CatalogWorkspace& workspace, TokenCount tokens, absl::Time now);
   /// Takes the tokens of requests that were admitted elsewhere; the level may become negative.
   void Charge(const CatalogWorkspace& workspace, TokenCount tokens, absl::Time now);
-  /// Lowers the level to what is left of `fleet_level`, the level over all ledgers, for this share.
-  void LowerTo(const CatalogWorkspace& workspace, TokenCount fleet_level, absl::Time now);
+  /// The level over all ledgers was no more than `fleet_level`: parts that are added from now on
+  /// start with no more.
+  void ExpectLevel(const CatalogWorkspace& workspace, TokenCount fleet_level, absl::Time now);
   /// Forgets all levels, when other ledgers have handed out tokens in the meantime.
   void Reset() { buckets_.clear(); }
   /// Tokens available; negative while there is a debt.
@@ -57,12 +59,16 @@
   struct Bucket {
     double level = 0;
     absl::Time updated;
-    // Share for which the level holds.
+    // Share for which the level holds, and the highest so far.
     double share = 0;
+    double highest_share = 0;
+    // Level with which a whole bucket would start.
+    double initial = 0;
   };
 
   double Burst(const CatalogWorkspace& workspace) const;
   Bucket& Refill(const CatalogWorkspace& workspace, absl::Time now);
+  void TakeOverShare(Bucket& bucket) const;
 
   double share_;
   TokenCount tolerance_ = 0;
--- a/packages/dispatch/src/quota_ledger.cc
+++ b/packages/dispatch/src/quota_ledger.cc
@@ -16,20 +16,31 @@
 }
 
 QuotaLedger::Bucket& QuotaLedger::Refill(const CatalogWorkspace& workspace, absl::Time now) {
-  const double initial = kInitialFill * share_ * static_cast<double>(workspace.quota.burst);
-  Bucket& bucket = buckets_.try_emplace(workspace.name, Bucket{initial, now, share_}).first->second;
+  const auto [found, added] = buckets_.try_emplace(workspace.name);
+  Bucket& bucket = found->second;
+  if (added) {
+    bucket.updated = now;
+    bucket.initial = kInitialFill * static_cast<double>(workspace.quota.burst);
+  }
   const absl::Duration elapsed = std::max(now - bucket.updated, absl::ZeroDuration());
   const double rate = bucket.share * static_cast<double>(workspace.quota.rate);
   bucket.level += rate * absl::ToDoubleSeconds(elapsed);
-  if (bucket.share != share_) {
-    bucket.level = bucket.share > 0 ? bucket.level * share_ / bucket.share : initial;
-    bucket.share = share_;
-  }
-  bucket.level = std::min(bucket.level, Burst(workspace));
   bucket.updated = std::max(bucket.updated, now);
+  TakeOverShare(bucket);
+  bucket.level = std::min(bucket.level, Burst(workspace));
   return bucket;
 }
 
+void QuotaLedger::TakeOverShare(Bucket& bucket) const {
+  // A debt stays here, whoever caused it.
+  if (share_ < bucket.share && bucket.level > 0) bucket.level *= share_ / bucket.share;
+  if (share_ > bucket.highest_share) {
+    bucket.level += (share_ - bucket.highest_share) * bucket.initial;
+    bucket.highest_share = share_;
+  }
+  bucket.share = share_;
+}
+
 QuotaDecision QuotaLedger::Admit(const CatalogWorkspace& workspace, TokenCount tokens,
                                  absl::Time now) {
   if (!workspace.quota.limited()) return {true, absl::ZeroDuration()};
@@ -51,11 +62,11 @@
   Refill(workspace, now).level -= static_cast<double>(tokens);
 }
 
-void QuotaLedger::LowerTo(const CatalogWorkspace& workspace, TokenCount fleet_level,
-                          absl::Time now) {
+void QuotaLedger::ExpectLevel(const CatalogWorkspace& workspace, TokenCount fleet_level,
+                              absl::Time now) {
   if (!workspace.quota.limited()) return;
   Bucket& bucket = Refill(workspace, now);
-  bucket.level = std::min(bucket.level, share_ * static_cast<double>(fleet_level));
+  bucket.initial = std::min(bucket.initial, static_cast<double>(fleet_level));
 }
 
 TokenCount QuotaLedger::Level(const CatalogWorkspace& workspace, absl::Time now) {
--- a/packages/fleet/include/marigoldquay/fleet/coordinator_link.h
+++ b/packages/fleet/include/marigoldquay/fleet/coordinator_link.h
@@ -136,6 +136,7 @@
   const MemberSource& source_;
   FeedSink& feed_;
   std::function<FleetMember()> self_;
+  const absl::Time started_;
 
   // Null while there is no session.
   FrameConnectionPtr connection_;
--- a/packages/fleet/src/coordinator.cc
+++ b/packages/fleet/src/coordinator.cc
@@ -158,16 +158,19 @@
 }
 
 void Coordinator::OnFirstReport(Session& session, const protocol::FleetReportT& report) {
-  // While no VM reported here, the tokens were handed out elsewhere.
-  if (ReportingSessions() == 0) quota_.Reset();
-  session.reported = true;
-  session.known_members = report.member_count;
-  UpdateQuotaShare();
+  if (ReportingSessions() == 0) {
+    // While no VM reported here, the tokens were handed out elsewhere.
+    quota_.Reset();
+    quota_.SetShare(0);
+  }
   const auto catalog = view_.catalog();
   for (const auto& entry : report.levels) {
     const auto* workspace = catalog ? catalog->FindWorkspace(entry->workspace) : nullptr;
-    if (workspace != nullptr) quota_.LowerTo(*workspace, entry->tokens, clock_.Now());
+    if (workspace != nullptr) quota_.ExpectLevel(*workspace, entry->tokens, clock_.Now());
   }
+  session.reported = true;
+  session.known_members = report.member_count;
+  UpdateQuotaShare();
   LogFields fields;
   fields.Add("vm", session.member.instance.ToString())
       .Add("sessions", static_cast<std::int64_t>(sessions_.size()))
--- a/packages/fleet/src/coordinator_link.cc
+++ b/packages/fleet/src/coordinator_link.cc
@@ -14,7 +14,9 @@
 using internal::ToWire;
 
 constexpr absl::Duration kConnectTimeout = absl::Milliseconds(250);
-constexpr absl::Duration kNoCandidatePause = absl::Milliseconds(200);
+constexpr absl::Duration kNoCandidatePause = absl::Milliseconds(50);
+// For so long a VM that has just started waits for the list before it coordinates itself.
+constexpr absl::Duration kFirstListWait = absl::Milliseconds(500);
 constexpr absl::Duration kCoolDown = absl::Seconds(3);
 // Silence of so many report intervals ends a session.
 constexpr std::int64_t kSilentIntervals = 3;
@@ -32,7 +34,13 @@
 CoordinatorLink::CoordinatorLink(asio::io_context& io, const Clock& clock, const ClusterView& view,
                                  const MemberSource& source, FeedSink& feed,
                                  std::function<FleetMember()> self)
-    : io_(io), clock_(clock), view_(view), source_(source), feed_(feed), self_(std::move(self)) {}
+    : io_(io),
+      clock_(clock),
+      view_(view),
+      source_(source),
+      feed_(feed),
+      self_(std::move(self)),
+      started_(clock.Now()) {}
 
 bool CoordinatorLink::FeedsOthers() const {
   return connected() && coordinator_.instance == self_().instance;
@@ -48,6 +56,8 @@
 }
 
 std::optional<FleetMember> CoordinatorLink::ChooseCoordinator() const {
+  const bool list_read = source_.read_at() != absl::InfinitePast();
+  if (!list_read && clock_.Now() < started_ + kFirstListWait) return std::nullopt;
   for (const FleetMember& member : source_.listed_members()) {
     if (!CoolingDown(member.inner_address)) return member;
   }
--- a/packages/fleet/src/coordinator_link_placing.cc
+++ b/packages/fleet/src/coordinator_link_placing.cc
@@ -51,13 +51,12 @@
 
 void CoordinatorLink::BecomeSilent() {
   if (std::exchange(silent_, true)) return;
-  local_quota_.SetShare(LocalShare());
   local_quota_.Reset();
+  local_quota_.SetShare(0);
   const auto catalog = view_.catalog();
-  if (!catalog) return;
   for (const auto& [name, level] : balances_) {
-    const auto* workspace = catalog->FindWorkspace(name);
-    if (workspace != nullptr) local_quota_.LowerTo(*workspace, level, clock_.Now());
+    const auto* workspace = catalog ? catalog->FindWorkspace(name) : nullptr;
+    if (workspace != nullptr) local_quota_.ExpectLevel(*workspace, level, clock_.Now());
   }
 }
 
