Give no new streams to decode engines that have fallen silent

A decode engine that goes dark takes streams, sends no event, and got new ones until a connection failed or its callers left. Change: an engine with two streams overdue by 700 ms and no sign of life since is passed over, unless no other is left; one whose caller left without an event is suspended for a second. Tests: three in stream_scheduler_test that fail without it.

--- a/packages/dispatch/include/marigoldquay/dispatch/stream_scheduler.h
+++ b/packages/dispatch/include/marigoldquay/dispatch/stream_scheduler.h
@@ -125,6 +125,8 @@
     int running = 0;
     int failures = 0;
     absl::Time suspended_until = absl::InfinitePast();
+    // When a stream last began or ended well there.
+    absl::Time last_sign = absl::InfinitePast();
   };
   struct Placed {
     StreamDemand demand;
@@ -151,6 +153,8 @@
   enum class Urgency { kOnTime, kLate };
 
   bool AllSuspended(EngineRole role, absl::Time now) const;
+  // Whether several streams have waited for long without any sign of life from their engine.
+  bool IsSilent(const Engine& decode, absl::Time now) const;
   bool Usable(const Engine& engine, const StreamDemand& demand, absl::Time now) const;
   bool HasRoom(const Engine& decode, const StreamDemand& demand, Urgency urgency,
                absl::Time now) const;
--- a/packages/dispatch/src/stream_scheduler.cc
+++ b/packages/dispatch/src/stream_scheduler.cc
@@ -44,6 +44,9 @@
 constexpr absl::Duration kFullSuspension = absl::Milliseconds(150);
 // An engine that was replaced by another start stays in the list until its entry lapses.
 constexpr absl::Duration kGoneSuspension = absl::Seconds(10);
+// A decode engine is silent when so many streams are overdue by so much since its last event.
+constexpr int kSilentStreams = 2;
+constexpr absl::Duration kSilentOverdue = absl::Milliseconds(700);
 
 absl::Duration Milliseconds(double ms) { return absl::Milliseconds(ms); }
 
@@ -81,16 +84,27 @@
   return found == engines_.end() ? 0 : found->second.reserved;
 }
 
+bool StreamScheduler::IsSilent(const Engine& decode, absl::Time now) const {
+  const absl::Time overdue = now - kSilentOverdue;
+  if (decode.last_sign > overdue) return false;
+  const auto count = std::count_if(placed_.begin(), placed_.end(), [&](const auto& entry) {
+    const Placed& placed = entry.second;
+    return !placed.started && placed.decode == decode.replica.id && placed.first_event < overdue;
+  });
+  return count >= kSilentStreams;
+}
+
 bool StreamScheduler::AllSuspended(EngineRole role, absl::Time now) const {
   return std::all_of(engines_.begin(), engines_.end(), [&](const auto& entry) {
-    return entry.second.replica.role != role || now < entry.second.suspended_until;
+    const Engine& engine = entry.second;
+    return engine.replica.role != role || now < engine.suspended_until || IsSilent(engine, now);
   });
 }
 
 bool StreamScheduler::Usable(const Engine& engine, const StreamDemand& demand,
                              absl::Time now) const {
   // A pool never becomes empty by suspensions.
-  const bool suspended = now < engine.suspended_until;
+  const bool suspended = now < engine.suspended_until || IsSilent(engine, now);
   if (suspended && !AllSuspended(*engine.replica.role, now)) return false;
   const auto& excluded = demand.excluded;
   return std::find(excluded.begin(), excluded.end(), engine.replica.id) == excluded.end();
@@ -346,7 +360,7 @@
     absl::StrAppend(&text, text.empty() ? "" : " ", id,
                     engine.replica.role == EngineRole::kPrefill ? " p " : " d ", engine.running,
                     "/", engine.reserved, "/", absl::ToInt64Milliseconds(backlog), "ms",
-                    now < engine.suspended_until ? "!" : "");
+                    now < engine.suspended_until ? "!" : "", IsSilent(engine, now) ? "?" : "");
   }
   return text;
 }
@@ -372,7 +386,9 @@
   found->second.started = true;
   found->second.first_event = now;
   Engine* engine = Find(found->second.decode);
-  if (engine != nullptr) engine->failures = 0;
+  if (engine == nullptr) return;
+  engine->failures = 0;
+  engine->last_sign = now;
 }
 
 void StreamScheduler::OnEnd(std::uint64_t ticket, StreamEnd end, absl::Time now) {
@@ -385,7 +401,13 @@
   if (decode != nullptr) {
     decode->reserved = std::max<TokenCount>(0, decode->reserved - Footprint(placed.demand));
     decode->running = std::max(0, decode->running - 1);
+    if (end == StreamEnd::kDone) decode->last_sign = now;
     if (end == StreamEnd::kDone && placed.started) LearnDecodeSpeed(*decode, placed, now);
+    // The caller left an engine that had not answered in time.
+    const bool unanswered = !placed.started && placed.first_event < now - kSilentOverdue;
+    if (end == StreamEnd::kCancelled && unanswered && decode->last_sign < placed.first_event) {
+      Suspend(*decode, kSuspension, now);
+    }
     if (end == StreamEnd::kFailed) Suspend(*decode, kSuspension, now);
     if (end == StreamEnd::kRefused) Suspend(*decode, kFullSuspension, now);
     if (end == StreamEnd::kGone) decode->suspended_until = now + kGoneSuspension;
--- a/packages/dispatch/tests/stream_scheduler_test.cc
+++ b/packages/dispatch/tests/stream_scheduler_test.cc
@@ -149,6 +149,46 @@
   BOOST_TEST((scheduler.Place(Demand(1000, kStart), kStart).verdict == StreamVerdict::kGranted));
 }
 
+// Guards against a decode engine that has gone dark and gets streams until its callers leave.
+BOOST_AUTO_TEST_CASE(engine_from_which_streams_hear_nothing_gets_no_new_ones) {
+  std::map<BackendServerId, std::vector<std::uint64_t>> tickets;
+  for (int i = 0; i < 6; ++i) {
+    const auto decision = scheduler.Place(Demand(500, kStart), kStart);
+    tickets[decision.decode].push_back(decision.ticket);
+  }
+  BOOST_TEST_REQUIRE(tickets["d1"].size() >= 2U);
+  BOOST_TEST_REQUIRE(tickets["d2"].size() >= 2U);
+  const absl::Time later = kStart + absl::Seconds(2);
+  for (const auto ticket : tickets["d2"]) scheduler.OnFirstEvent(ticket, later);
+  for (int i = 0; i < 6; ++i) {
+    BOOST_TEST(scheduler.Place(Demand(500, later), later).decode == "d2");
+  }
+  // It answers again.
+  scheduler.OnFirstEvent(tickets["d1"].front(), later);
+  bool used = false;
+  for (int i = 0; i < 6; ++i) {
+    used = used || scheduler.Place(Demand(500, later), later).decode == "d1";
+  }
+  BOOST_TEST(used);
+}
+
+// A caller that leaves without an event tells as much as the wait itself.
+BOOST_AUTO_TEST_CASE(engine_that_callers_left_without_an_event_is_suspended) {
+  const auto first = scheduler.Place(Demand(500, kStart), kStart);
+  const absl::Time later = kStart + absl::Seconds(3);
+  scheduler.OnEnd(first.ticket, StreamEnd::kCancelled, later);
+  for (int i = 0; i < 4; ++i) {
+    BOOST_TEST(scheduler.Place(Demand(500, later), later).decode != first.decode);
+  }
+}
+
+// Silence must not empty the pool.
+BOOST_AUTO_TEST_CASE(silent_engines_serve_when_no_other_is_left) {
+  for (int i = 0; i < 6; ++i) scheduler.Place(Demand(500, kStart), kStart);
+  const absl::Time later = kStart + absl::Seconds(2);
+  BOOST_TEST((scheduler.Place(Demand(500, later), later).verdict == StreamVerdict::kGranted));
+}
+
 BOOST_AUTO_TEST_CASE(adopted_request_occupies_its_engine) {
   const auto ticket = scheduler.Adopt(Demand(30'000, kStart), "d1", kStart);
   BOOST_TEST(scheduler.reserved_tokens("d1") == 30'100);
