Read a configuration that others have seen without long pauses

Change: when a newer version is announced, the pause stays at 0.15 s; else the time of a call that hung counts as part of the pause.

--- a/packages/fleet/include/marigoldquay/fleet/followers.h
+++ b/packages/fleet/include/marigoldquay/fleet/followers.h
@@ -46,6 +46,7 @@
 
  private:
   bool FollowsFeed() const;
+  absl::Duration LongestPause() const;
   ErrorOr<CatalogUpdate> ReadNext(Yield yield);
   void Apply(CatalogUpdate update);
   void ReportContact(bool reached, const std::string& detail);
--- a/packages/fleet/include/marigoldquay/fleet/retry_delay.h
+++ b/packages/fleet/include/marigoldquay/fleet/retry_delay.h
@@ -16,12 +16,13 @@
   /// Pause after the first failure.
   static constexpr absl::Duration kFirst = absl::Milliseconds(150);
 
-  /// Pause after another failure: half to the whole of the present step, which is at most
-  /// `longest`.
-  absl::Duration Next(absl::Duration longest) {
+  /// Pause after another failure. From the start of the failed call, which took `call`, to the next
+  /// one it is half to the whole of the present step, which is at most `longest`.
+  absl::Duration Next(absl::Duration longest, absl::Duration call) {
     const absl::Duration step = std::min(next_, longest);
     next_ = std::min(next_ * 2, longest);
-    return step * std::uniform_real_distribution<double>(0.5, 1.0)(random_);
+    const double part = std::uniform_real_distribution<double>(0.5, 1.0)(random_);
+    return std::max(step * part - call, kFirst / 2);
   }
 
   /// The call has succeeded.
--- a/packages/fleet/src/followers.cc
+++ b/packages/fleet/src/followers.cc
@@ -70,6 +70,12 @@
   wake_.cancel();
 }
 
+absl::Duration CatalogFollower::LongestPause() const {
+  // The store has what is missed here and answers others, so that it may answer any call.
+  const std::uint64_t version = view_.catalog() ? view_.catalog()->version() : 0;
+  return announced_ > version ? RetryDelay::kFirst : LongestRetryPause(feed_);
+}
+
 bool CatalogFollower::FollowsFeed() const { return view_.catalog() && feed_.FeedIsFresh(); }
 
 ErrorOr<CatalogUpdate> CatalogFollower::ReadNext(Yield yield) {
@@ -87,6 +93,7 @@
       wake_.async_wait(yield[ignored]);
       continue;
     }
+    const absl::Time started = clock_.Now();
     auto update = ReadNext(yield);
     if (update) {
       retry_delay_.Reset();
@@ -102,7 +109,7 @@
     // Records that are gone were replaced by a newer whole configuration.
     if (update.error().code == ErrorCode::kNotFound) next_.reset();
     ReportContact(update.error().code == ErrorCode::kNotFound, update.error().ToString());
-    SleepFor(io_, retry_delay_.Next(LongestRetryPause(feed_)), yield);
+    SleepFor(io_, retry_delay_.Next(LongestPause(), clock_.Now() - started), yield);
   }
 }
 
@@ -175,6 +182,7 @@
 
 void ReplicaFollower::ReadOnce(Yield yield) {
   const bool whole_list = !next_;
+  const absl::Time started = clock_.Now();
   const auto update = whole_list ? store_.ListReplicas(yield) : store_.ReadReplicas(*next_, yield);
   if (update) {
     last_contact_ = clock_.Now();
@@ -193,7 +201,7 @@
     Log().Event("backend_server_list_unavailable",
                 LogFields().Add("detail", update.error().ToString()), LogLevel::kWarn);
   }
-  SleepFor(io_, retry_delay_.Next(LongestRetryPause(feed_)), yield);
+  SleepFor(io_, retry_delay_.Next(LongestRetryPause(feed_), clock_.Now() - started), yield);
 }
 
 void ReplicaFollower::Run(Yield yield) {
--- a/packages/fleet/tests/retry_delay_test.cc
+++ b/packages/fleet/tests/retry_delay_test.cc
@@ -14,13 +14,24 @@
   RetryDelay delay;
   absl::Duration step = RetryDelay::kFirst;
   for (int i = 0; i < 10; ++i) {
-    const absl::Duration pause = delay.Next(longest);
+    const absl::Duration pause = delay.Next(longest, absl::ZeroDuration());
     BOOST_TEST((pause >= step / 2 && pause <= step));
     step = std::min(step * 2, longest);
   }
   BOOST_TEST((step == longest));
   delay.Reset();
-  BOOST_TEST((delay.Next(longest) <= RetryDelay::kFirst));
+  BOOST_TEST((delay.Next(longest, absl::ZeroDuration()) <= RetryDelay::kFirst));
+}
+
+// Guards against a configuration that takes over 2 s once the store is back: a call that hangs for
+// 0.8 s and a pause of 1.2 s after it did.
+BOOST_AUTO_TEST_CASE(time_of_the_call_counts) {
+  const absl::Duration longest = absl::Milliseconds(1200);
+  const absl::Duration call = absl::Milliseconds(800);
+  RetryDelay delay;
+  for (int i = 0; i < 20; ++i) {
+    BOOST_TEST((call + delay.Next(longest, call) <= longest));
+  }
 }
 
 BOOST_AUTO_TEST_SUITE_END()
