Let the roles of engines follow the load

Change: a planner in dispatch compares the recent peaks of prefill work and decode memory, and changes idle engines of the other role, one in eight at a time, never the last two prefill engines of four or more. Orders come from the coordinating VM under a claim that it appends to the store and checks before each round; a new holder waits for the lease and a second. Of two starts of a VM only the newest is now kept. Ruled out: streams at prefill engines; the engines refuse them (421). Tests: role_planner_test; platform_roles_test with real daemons: an order comes, the next holder has a higher claim and waits more than the lease.

--- a/apps/marigoldquayd/platform_node.cc
+++ b/apps/marigoldquayd/platform_node.cc
@@ -19,6 +19,7 @@
 #include "marigoldquay/fleet/coordinator_link.h"
 #include "marigoldquay/fleet/followers.h"
 #include "marigoldquay/fleet/presence_keeper.h"
+#include "marigoldquay/fleet/role_keeper.h"
 #include "marigoldquay/platform/header_dialect.h"
 #include "marigoldquay/platform/node_settings.h"
 #include "marigoldquay/platform/service_handlers.h"
@@ -43,6 +44,8 @@
 constexpr absl::Duration kStopMargin = absl::Milliseconds(500);
 constexpr absl::Duration kDrainPoll = absl::Milliseconds(50);
 constexpr absl::Duration kLogFlush = absl::Milliseconds(100);
+// Orders to engines wait while the store has been silent for longer.
+constexpr absl::Duration kFreshStore = absl::Milliseconds(1500);
 constexpr absl::Duration kHousekeeping = absl::Seconds(1);
 // Parts of the deployment's retry budget that are used, so that counting on both sides may differ.
 constexpr double kRetryRatioPart = 0.8;
@@ -118,6 +121,9 @@
                                        replica_follower_.last_contact());
                      }),
         link_(io_, clock_, view_, presence_, *this, [this] { return Self(); }),
+        role_keeper_(
+            io_, clock_, view_, store_, dialect_, connections_, coordinator_,
+            {self_.instance.ToString(), settings_.order_lease, [this] { return MayOrder(); }}),
         catalog_follower_(io_, clock_, store_, view_, link_, [this] { OnCatalogChange(); }),
         replica_follower_(io_, clock_, store_, view_, link_, [this] { OnReplicaChange(); }),
         front_({io_, clock_, view_, dialect_, connections_, health_, balancer_, budgets_, link_,
@@ -147,6 +153,7 @@
     spawn("follow replicas", [this](Yield yield) { replica_follower_.Run(yield); });
     spawn("presence", [this](Yield yield) { presence_.Run(yield); });
     spawn("coordinator link", [this](Yield yield) { link_.Run(yield); });
+    spawn("engine roles", [this](Yield yield) { role_keeper_.Run(yield); });
     spawn("reports", [this](Yield yield) { link_.RunReports(yield); });
     spawn("signals", [this](Yield yield) { AwaitSignals(yield); });
     spawn("housekeeping", [this](Yield yield) { KeepHouse(yield); });
@@ -171,6 +178,12 @@
 
   bool NeedsMembers() const { return !link_.connected() || coordinator_.sessions() > 0; }
 
+  // Engines change only on the word of a VM that coordinates and sees the present list.
+  bool MayOrder() const {
+    return !draining_ && link_.FeedsOthers() && presence_.settled() &&
+           clock_.Now() - replica_follower_.last_contact() < kFreshStore;
+  }
+
   RetryBudgetLimits RetryLimits(std::size_t members) const {
     RetryBudgetLimits limits;
     limits.ratio = settings_.retry_ratio * kRetryRatioPart;
@@ -313,6 +326,7 @@
   PresenceKeeper presence_;
   Coordinator coordinator_;
   CoordinatorLink link_;
+  RoleKeeper role_keeper_;
   CatalogFollower catalog_follower_;
   ReplicaFollower replica_follower_;
   FrontHandler front_;
--- a/packages/dispatch/include/marigoldquay/dispatch/fwd.h
+++ b/packages/dispatch/include/marigoldquay/dispatch/fwd.h
@@ -7,11 +7,15 @@
 class QuotaLedger;
 class ReplicaBalancer;
 class ReplicaHealth;
+class RolePlanner;
 class StreamScheduler;
 class WindowedRetryBudget;
+struct EngineLoad;
 struct QuotaDecision;
 struct ReplicaLoad;
 struct RetryBudgetLimits;
+struct RoleChange;
+struct ServiceLoad;
 struct StreamDecision;
 struct StreamDemand;
 struct StreamSchedulerOptions;
--- a/packages/dispatch/include/marigoldquay/dispatch/stream_scheduler.h
+++ b/packages/dispatch/include/marigoldquay/dispatch/stream_scheduler.h
@@ -18,6 +18,7 @@
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "marigoldquay/core/types.h"
+#include "marigoldquay/dispatch/role_planner.h"
 #include "marigoldquay/routing/catalog.h"
 #include "marigoldquay/routing/replica_table.h"
 
@@ -104,6 +105,12 @@
   /// The demand ended, also while waiting; frees what was reserved. Unknown tickets are ignored.
   void OnEnd(std::uint64_t ticket, StreamEnd end, absl::Time now);
 
+  /// Load since the last call.
+  ServiceLoad TakeLoad(absl::Time now);
+  /// The engine is about to change its role: it gets no requests until its entry says so, or until
+  /// `until`.
+  void OnRoleOrdered(absl::string_view engine, absl::Time until);
+
   std::size_t waiting() const { return waiting_.size(); }
   std::size_t running() const { return placed_.size(); }
   /// Tokens reserved at an engine; 0 for unknown ones.
@@ -181,6 +188,10 @@
   // By ticket, so in the order of arrival.
   std::map<std::uint64_t, StreamDemand> waiting_;
   std::uint64_t next_ticket_ = 1;
+  // Reading time of the prompts that were placed on prefill engines, in ms, since the last
+  // TakeLoad.
+  double prefill_ms_placed_ = 0;
+  absl::Time load_taken_ = absl::InfinitePast();
 };
 
 }  // namespace marigoldquay
--- a/packages/dispatch/src/stream_scheduler.cc
+++ b/packages/dispatch/src/stream_scheduler.cc
@@ -63,9 +63,10 @@
     if (!replica.role) continue;
     Engine engine;
     const auto found = engines_.find(replica.id);
-    const bool same_start =
-        found != engines_.end() && found->second.replica.started_unix_ms == replica.started_unix_ms;
-    if (same_start) engine = found->second;
+    // An engine that was started again or has changed its role knows nothing of before.
+    const bool same = found != engines_.end() && found->second.replica.role == replica.role &&
+                      found->second.replica.started_unix_ms == replica.started_unix_ms;
+    if (same) engine = found->second;
     engine.replica = replica;
     if (engine.read_ms_per_token <= 0) engine.read_ms_per_token = kDefaultReadMsPerToken;
     if (engine.decode_ms_per_token <= 0) engine.decode_ms_per_token = kDefaultDecodeMsPerToken;
@@ -218,6 +219,10 @@
                                       const Candidate& candidate, absl::Time now) {
   Engine& reader = candidate.prefill != nullptr ? *candidate.prefill : *candidate.decode;
   reader.read_until = candidate.read_by;
+  if (candidate.prefill != nullptr) {
+    prefill_ms_placed_ +=
+        candidate.prefill->read_ms_per_token * static_cast<double>(demand.prompt_tokens);
+  }
   candidate.decode->reserved += Footprint(demand);
   ++candidate.decode->running;
 
@@ -365,6 +370,32 @@
   return text;
 }
 
+ServiceLoad StreamScheduler::TakeLoad(absl::Time now) {
+  ServiceLoad load;
+  for (const auto& [id, engine] : engines_) {
+    if (now < engine.suspended_until) continue;
+    EngineLoad entry{id, *engine.replica.role, engine.replica.availability_zone, engine.running, 0};
+    if (entry.role == EngineRole::kDecode && profile_.kv_capacity > 0) {
+      entry.memory_fill =
+          static_cast<double>(engine.reserved) / static_cast<double>(profile_.kv_capacity);
+    }
+    load.engines.push_back(std::move(entry));
+  }
+  load.waiting = waiting_.size();
+  const double elapsed_ms = absl::ToDoubleMilliseconds(now - load_taken_);
+  if (load_taken_ != absl::InfinitePast() && elapsed_ms > 0) {
+    load.prefill_work = prefill_ms_placed_ / elapsed_ms;
+  }
+  prefill_ms_placed_ = 0;
+  load_taken_ = now;
+  return load;
+}
+
+void StreamScheduler::OnRoleOrdered(absl::string_view engine, absl::Time until) {
+  Engine* found = Find(engine);
+  if (found != nullptr) found->suspended_until = std::max(found->suspended_until, until);
+}
+
 void StreamScheduler::OnPrefillEnd(std::uint64_t ticket, bool ok, absl::Time now) {
   const auto found = placed_.find(ticket);
   if (found == placed_.end() || !found->second.reading || !found->second.prefill) return;
--- /dev/null
+++ b/packages/dispatch/tests/role_planner_test.cc
@@ -0,0 +1,106 @@
+// Changes of engine roles under load, and the engines that must stay.
+#include "marigoldquay/dispatch/role_planner.h"
+
+#include <rapidcheck.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include "absl/strings/str_cat.h"
+
+namespace marigoldquay {
+namespace {
+
+const absl::Time kStart = absl::UnixEpoch() + absl::Hours(1);
+
+ServiceLoad Load(int prefill, int decode, double work, double fill, std::size_t waiting = 0) {
+  ServiceLoad load;
+  for (int i = 0; i < prefill; ++i) {
+    load.engines.push_back({absl::StrCat("p", i), EngineRole::kPrefill, "z1", 0, 0});
+  }
+  for (int i = 0; i < decode; ++i) {
+    load.engines.push_back({absl::StrCat("d", i), EngineRole::kDecode, "z1", i, fill});
+  }
+  load.prefill_work = work;
+  load.waiting = waiting;
+  return load;
+}
+
+BOOST_AUTO_TEST_SUITE(role_planner)
+
+// Guards against requests that are refused while prefill engines idle.
+BOOST_AUTO_TEST_CASE(idle_prefill_engine_helps_full_decode_engines) {
+  RolePlanner planner;
+  const auto changes = planner.Plan(Load(5, 4, 0.9, 0.9), kStart);
+  BOOST_TEST_REQUIRE(changes.size() == 1U);
+  BOOST_TEST((changes[0].role == EngineRole::kDecode));
+}
+
+BOOST_AUTO_TEST_CASE(demands_that_wait_for_long_count_as_full) {
+  RolePlanner planner;
+  BOOST_TEST(planner.Plan(Load(5, 4, 0.9, 0.3, 3), kStart).empty());
+  BOOST_TEST(planner.Plan(Load(5, 4, 0.9, 0.3, 3), kStart + absl::Seconds(1)).size() == 1U);
+}
+
+// An engine that is on its way counts for neither role, and only a few change at once.
+BOOST_AUTO_TEST_CASE(next_change_waits_for_the_last_one) {
+  RolePlanner planner;
+  const auto first = planner.Plan(Load(5, 4, 0.9, 0.9), kStart);
+  BOOST_TEST_REQUIRE(first.size() == 1U);
+  planner.OnOrdered(first[0], kStart);
+  BOOST_TEST(planner.Plan(Load(5, 4, 0.9, 0.9), kStart + absl::Seconds(1)).empty());
+  // The order was lost.
+  BOOST_TEST(planner.Plan(Load(5, 4, 0.9, 0.9), kStart + absl::Seconds(11)).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(busy_prefill_engines_get_help_from_idle_decode_engines) {
+  RolePlanner planner;
+  const auto changes = planner.Plan(Load(2, 6, 1.9, 0.2), kStart);
+  BOOST_TEST_REQUIRE(changes.size() == 1U);
+  BOOST_TEST((changes[0].role == EngineRole::kPrefill));
+  BOOST_TEST(changes[0].engine == "d0");
+}
+
+// Guards against engines that change to and fro under a steady load.
+BOOST_AUTO_TEST_CASE(steady_load_settles) {
+  RolePlanner planner;
+  int prefill = 5;
+  int decode = 4;
+  int changes = 0;
+  for (int second = 0; second < 120; ++second) {
+    const double fill = std::min(1.0, 3.6 / decode);
+    const absl::Time now = kStart + absl::Seconds(second);
+    for (const auto& change : planner.Plan(Load(prefill, decode, 0.9, fill), now)) {
+      ++changes;
+      prefill += change.role == EngineRole::kPrefill ? 1 : -1;
+      decode += change.role == EngineRole::kDecode ? 1 : -1;
+    }
+  }
+  BOOST_TEST(changes <= 3);
+  BOOST_TEST(prefill >= 2);
+}
+
+// No load takes the last engines of a role away.
+BOOST_AUTO_TEST_CASE(some_engines_of_each_role_stay) {
+  rc::check("each role keeps an engine", [] {
+    RolePlanner planner;
+    int prefill = *rc::gen::inRange(1, 12);
+    int decode = *rc::gen::inRange(1, 12);
+    for (int second = 0; second < 40; ++second) {
+      const double work = *rc::gen::inRange(0, 100) / 10.0;
+      const double fill = *rc::gen::inRange(0, 11) / 10.0;
+      const auto waiting = static_cast<std::size_t>(*rc::gen::inRange(0, 3));
+      const auto load = Load(prefill, decode, work, fill, waiting);
+      for (const auto& change : planner.Plan(load, kStart + absl::Seconds(second))) {
+        prefill += change.role == EngineRole::kPrefill ? 1 : -1;
+        decode += change.role == EngineRole::kDecode ? 1 : -1;
+      }
+      RC_ASSERT(prefill >= 1);
+      RC_ASSERT(decode >= 1);
+    }
+  });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace marigoldquay
--- a/packages/fleet/include/marigoldquay/fleet/cluster_store.h
+++ b/packages/fleet/include/marigoldquay/fleet/cluster_store.h
@@ -54,6 +54,11 @@
   virtual ErrorOrVoid RenewPresence(const std::string& member, absl::Duration ttl, Yield yield) = 0;
   /// Withdraws a member.
   virtual ErrorOrVoid EndPresence(const std::string& member, Yield yield) = 0;
+  /// Claims the right to give orders to engines. The number is higher than that of every earlier
+  /// claim of any VM.
+  virtual ErrorOr<std::uint64_t> ClaimOrders(const std::string& holder, Yield yield) = 0;
+  /// Whether no VM has claimed the right since.
+  virtual ErrorOr<bool> IsNewestClaim(std::uint64_t claim, Yield yield) = 0;
   /// Announced members; the first one is the coordinator unless it cannot be reached.
   virtual ErrorOr<std::vector<std::string>> Members(Yield yield) = 0;
 };
--- a/packages/fleet/include/marigoldquay/fleet/coordinator.h
+++ b/packages/fleet/include/marigoldquay/fleet/coordinator.h
@@ -47,6 +47,15 @@
   /// Hands the coordination to the next member.
   void Leave() { leaving_ = true; }
 
+  /// Load of a model service since the last call.
+  ServiceLoad TakeLoad(const std::string& service) {
+    return SchedulerOf(service).TakeLoad(clock_.Now());
+  }
+  /// The engine is about to change its role; see StreamScheduler.
+  void OnRoleOrdered(const std::string& service, const BackendServerId& engine, absl::Time until) {
+    SchedulerOf(service).OnRoleOrdered(engine, until);
+  }
+
   std::size_t sessions() const { return sessions_.size(); }
 
  private:
--- a/packages/fleet/include/marigoldquay/fleet/fwd.h
+++ b/packages/fleet/include/marigoldquay/fleet/fwd.h
@@ -13,6 +13,7 @@
 class PresenceKeeper;
 class ReplicaFollower;
 class RetryDelay;
+class RoleKeeper;
 struct CatalogUpdate;
 struct FleetMember;
 struct FleetOptions;
--- a/packages/fleet/include/marigoldquay/fleet/member.h
+++ b/packages/fleet/include/marigoldquay/fleet/member.h
@@ -40,6 +40,10 @@
   static std::optional<FleetMember> FromName(absl::string_view name);
 };
 
+/// Drops the earlier starts of a VM that is listed more than once: the entry of a process that was
+/// killed stays until its lease is over, and would lead the others to its successor.
+void KeepNewestStarts(std::vector<FleetMember>& members);
+
 /// Sorts members so that the first one coordinates: large VMs before small ones, then the one that
 /// has been up longest, so that a VM that joins does not take over.
 void SortForCoordination(std::vector<FleetMember>& members);
--- a/packages/fleet/src/member.cc
+++ b/packages/fleet/src/member.cc
@@ -42,6 +42,16 @@
   return member;
 }
 
+void KeepNewestStarts(std::vector<FleetMember>& members) {
+  const std::vector<FleetMember> all = members;
+  std::erase_if(members, [&](const FleetMember& member) {
+    return std::any_of(all.begin(), all.end(), [&](const FleetMember& other) {
+      return other.instance.vm == member.instance.vm &&
+             other.started_unix_ms > member.started_unix_ms;
+    });
+  });
+}
+
 void SortForCoordination(std::vector<FleetMember>& members) {
   const auto rank = [](const FleetMember& member) {
     const bool small = member.capacity < kCoordinatorCapacity;
--- a/packages/fleet/src/presence_keeper.cc
+++ b/packages/fleet/src/presence_keeper.cc
@@ -60,6 +60,7 @@
   if (members.empty()) return;
   read_at_ = clock_.Now();
   first_read_at_ = std::min(first_read_at_, read_at_);
+  KeepNewestStarts(members);
   SortForCoordination(members);
   if (members == listed_) return;
   listed_ = std::move(members);
--- a/packages/fleet/tests/member_test.cc
+++ b/packages/fleet/tests/member_test.cc
@@ -49,6 +49,18 @@
   BOOST_TEST(members[2].instance.vm == "small");
 }
 
+// Guards against VMs that go back and forth between two coordinators after one was restarted: its
+// dead entry came first and led to the new process at the same address.
+BOOST_AUTO_TEST_CASE(earlier_start_of_a_vm_is_dropped) {
+  std::vector<FleetMember> members = {MakeMember("vm-1", 10, 50), MakeMember("vm-2", 20, 50),
+                                      MakeMember("vm-1", 30, 50)};
+  KeepNewestStarts(members);
+  SortForCoordination(members);
+  BOOST_TEST_REQUIRE(members.size() == 2U);
+  BOOST_TEST(members[0].instance.vm == "vm-2");
+  BOOST_TEST(members[1].started_unix_ms == 30);
+}
+
 BOOST_AUTO_TEST_CASE(callers_get_only_ready_vms_by_capacity) {
   std::vector<FleetMember> members;
   for (int i = 0; i < 20; ++i) {
--- a/packages/relay/include/marigoldquay/relay/backend_dialect.h
+++ b/packages/relay/include/marigoldquay/relay/backend_dialect.h
@@ -13,6 +13,7 @@
 #include "marigoldquay/dispatch/replica_balancer.h"
 #include "marigoldquay/net/async.h"
 #include "marigoldquay/net/http_connection.h"
+#include "marigoldquay/routing/replica_table.h"
 
 namespace marigoldquay {
 
@@ -82,6 +83,27 @@
   bool operator==(const PrefillHandle&) const = default;
 };
 
+/// An order to an engine to change its role.
+struct RoleOrder {
+  BackendServerId engine;
+  Address address;
+  EngineRole role = EngineRole::kDecode;
+  /// The VM that gives the order, and its claim; engines refuse one lower than they have seen.
+  std::string holder;
+  std::uint64_t claim = 0;
+};
+
+enum class RoleOrderOutcome {
+  /// The engine changes, or has the role already.
+  kAccepted,
+  /// It carries out another order.
+  kBusy,
+  /// It has seen a higher claim.
+  kFenced,
+  /// Another start of an engine has the address, or the order is not understood.
+  kRejected,
+};
+
 /// Translates between header fields and typed values. Stateless.
 class BackendDialect {
  public:
@@ -102,6 +124,8 @@
   /// Frees the KV cache of a prefill that is not used.
   virtual HttpRequest MakePrefillRelease(const PrefillHandle& prefill,
                                          const Address& engine) const = 0;
+  virtual HttpRequest MakeRoleOrder(const RoleOrder& order) const = 0;
+  virtual RoleOrderOutcome DecodeRoleOrder(const HttpReply& reply) const = 0;
 };
 
 }  // namespace marigoldquay
--- a/tests/platform/fake_replica.cc
+++ b/tests/platform/fake_replica.cc
@@ -33,7 +33,11 @@
 }
 
 FakeReplica::FakeReplica(asio::io_context& io, ReplicaLedger& ledger, ReplicaOptions options)
-    : io_(io), ledger_(ledger), options_(std::move(options)), listener_(io, *this, 500) {
+    : io_(io),
+      ledger_(ledger),
+      options_(std::move(options)),
+      listener_(io, *this, 500),
+      phase_(options_.phase) {
   const auto started = listener_.Start("127.0.0.1:0");
   if (!started) ledger_.violations.push_back(started.error().ToString());
 }
@@ -48,7 +52,7 @@
                             {"coldLeftMs", 0},
                             {"sequence", 1},
                             {"born", 1}};
-  if (!options_.phase.empty()) entry["phase"] = options_.phase;
+  if (!phase_.empty()) entry["phase"] = phase_;
   return boost::json::serialize(entry);
 }
 
@@ -79,6 +83,19 @@
   return ledger_.runs.size() - 1;
 }
 
+void FakeReplica::ChangePhase(const HttpRequest& request, HttpReplyWriter& reply, Yield yield) {
+  const auto body = boost::json::parse(request.body()).as_object();
+  ReplicaOrder order{options_.id, body.at("phase").as_string().c_str(),
+                     body.at("holder").as_string().c_str(), body.at("fence").to_number<int>(),
+                     absl::Now()};
+  ledger_.orders.push_back(order);
+  if (order.claim < highest_claim_) return (void)reply.SendWhole(412, HttpFields(), "{}", yield);
+  highest_claim_ = order.claim;
+  phase_ = order.phase;
+  (void)reply.SendWhole(202, HttpFields(), "{}", yield);
+  options_.on_phase();
+}
+
 void FakeReplica::Prefill(const std::string& id, HttpReplyWriter& reply, Yield yield) {
   const std::string handle = absl::StrCat(options_.id, "-", next_cache_++);
   ledger_.waiting_caches[handle] = absl::Now();
@@ -149,7 +166,13 @@
     (void)reply.SendWhole(421, not_run, "", yield);
     return;
   }
-  if (Field(request, "Stage") == "prefill") return Prefill(id, reply, yield);
+  if (request.target() == "/order") return ChangePhase(request, reply, yield);
+  const bool prefill = Field(request, "Stage") == "prefill";
+  if (!phase_.empty() && prefill != (phase_ == "prefill")) {
+    (void)reply.SendWhole(421, not_run, "", yield);
+    return;
+  }
+  if (prefill) return Prefill(id, reply, yield);
   const ReplicaBehavior behavior = options_.behavior();
   if (behavior == ReplicaBehavior::kShed) {
     not_run.set("Not-Executed", "1");
--- a/tests/platform/fake_replica.h
+++ b/tests/platform/fake_replica.h
@@ -51,9 +51,19 @@
   std::optional<absl::Time> cancelled;
 };
 
+/// One order to change the role of an engine.
+struct ReplicaOrder {
+  std::string replica;
+  std::string phase;
+  std::string holder;
+  std::int64_t claim = 0;
+  absl::Time at;
+};
+
 /// What all replicas of a world have seen.
 struct ReplicaLedger {
   std::vector<ReplicaRun> runs;
+  std::vector<ReplicaOrder> orders;
   /// KV caches that were neither fetched nor freed, with the time at which they were made.
   std::map<std::string, absl::Time> waiting_caches;
   std::vector<std::string> violations;
@@ -65,6 +75,8 @@
   std::string availability_zone = "z1";
   /// "", "prefill" or "decode".
   std::string phase;
+  /// Called after an order has changed the phase.
+  std::function<void()> on_phase = [] {};
   int events = 6;
   absl::Duration event_gap = absl::Milliseconds(15);
   absl::Duration work = absl::Milliseconds(5);
@@ -87,6 +99,7 @@
   void Stop() { listener_.StopAccepting(); }
 
  private:
+  void ChangePhase(const HttpRequest& request, HttpReplyWriter& reply, Yield yield);
   void Prefill(const std::string& id, HttpReplyWriter& reply, Yield yield);
   void AnswerPlain(const HttpRequest& request, std::size_t run, ReplicaBehavior behavior,
                    HttpReplyWriter& reply, Cancellation& cancellation, Yield yield);
@@ -100,6 +113,8 @@
   const ReplicaOptions options_;
   HttpListener listener_;
   int next_cache_ = 1;
+  std::string phase_;
+  std::int64_t highest_claim_ = 0;
 };
 
 /// Body that a plain replica answers with.
--- a/tests/platform/fake_store.cc
+++ b/tests/platform/fake_store.cc
@@ -128,6 +128,13 @@
                 cancellation, yield);
   }
   if (path == "/log-owners") return Send(reply, 200, Owners(), yield);
+  if (path == "/log-append") {
+    // One record behind the four bytes of its length.
+    const std::size_t offset = topics_[query["topic"]].records.size();
+    Put(query["topic"], "", request.body().substr(4));
+    return Send(reply, 200, absl::StrCat(R"({"offset":)", offset, R"(,"end":)", offset + 1, "}"),
+                yield);
+  }
   const auto body = boost::json::parse(request.body()).as_object();
   const std::string member(body.at("member").as_string());
   if (path == "/log-join") {
--- /dev/null
+++ b/tests/platform/platform_roles_test.cc
@@ -0,0 +1,98 @@
+// Orders that change the roles of engines: when they are given, and by whom.
+#include <atomic>
+#include <boost/test/unit_test.hpp>
+#include <set>
+#include <thread>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+#include "world.h"
+
+namespace marigoldquay::testing {
+namespace {
+
+// `leaseMs` of the settings, by default.
+constexpr absl::Duration kLease = absl::Seconds(3);
+
+/// A world whose only decode engine is full while its prefill engines idle.
+struct Fixture {
+  World world{Options()};
+  std::atomic<bool> stop{false};
+  std::atomic<int> served{0};
+  std::vector<std::thread> callers;
+
+  static WorldOptions Options() {
+    WorldOptions options;
+    options.name = "roles";
+    options.vms = 3;
+    options.prefill_engines = 5;
+    options.decode_engines = 1;
+    options.event_gap = absl::Milliseconds(100);
+    return options;
+  }
+
+  Fixture() {
+    // Two streams fill an engine.
+    world.Configure([](boost::json::object& config) {
+      config["services"].as_array()[1].as_object()["engine"].as_object()["kvCapacity"] = 10'000;
+    });
+    for (int i = 0; i < 3; ++i) BOOST_TEST_REQUIRE(world.AwaitReady(i));
+    for (int i = 0; i < 6; ++i) {
+      callers.emplace_back([this, i] {
+        while (!stop) {
+          CallerCall call;
+          call.id = NewRequestId();
+          call.path = "/once/x";
+          call.headers = {"Token-Count: 4500,100"};
+          if (world.Call(i % 3, call).status == 200) ++served;
+          absl::SleepFor(absl::Milliseconds(10));
+        }
+      });
+    }
+  }
+  ~Fixture() {
+    stop = true;
+    for (auto& caller : callers) caller.join();
+  }
+
+  std::vector<ReplicaOrder> Orders() { return world.Seen().orders; }
+};
+
+BOOST_FIXTURE_TEST_SUITE(platform_roles, Fixture)
+
+// Guards against streams that wait while prefill engines idle, and against two VMs that order at
+// the same time after the coordinating one was killed.
+BOOST_AUTO_TEST_CASE(idle_prefill_engines_help_and_holders_do_not_overlap) {
+  BOOST_TEST_REQUIRE(Eventually(absl::Seconds(15), [&] { return !Orders().empty(); }));
+  const auto first = Orders().front();
+  BOOST_TEST(first.phase == "decode");
+  BOOST_TEST(first.claim >= 1);
+  const int before = served;
+  BOOST_TEST(Eventually(absl::Seconds(5), [&] { return served > before; }));
+  // The holder's name begins with its VM.
+  for (int vm = 0; vm < 3; ++vm) {
+    const std::string name = absl::StrCat("vm-", vm);
+    if (first.holder.compare(0, name.size(), name) == 0) {
+      world.vm(vm).Kill();
+      world.StartVm(vm);
+    }
+  }
+  BOOST_TEST(Eventually(absl::Seconds(30), [&] { return Orders().back().holder != first.holder; }));
+  const auto orders = Orders();
+  std::set<std::string> changed;
+  for (std::size_t i = 0; i < orders.size(); ++i) {
+    changed.insert(orders[i].replica);
+    if (i == 0) continue;
+    BOOST_TEST(orders[i].claim >= orders[i - 1].claim);
+    if (orders[i].holder == orders[i - 1].holder) continue;
+    BOOST_TEST(orders[i].claim > orders[i - 1].claim);
+    BOOST_TEST((orders[i].at - orders[i - 1].at > kLease));
+  }
+  BOOST_TEST(changed.size() == orders.size());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace marigoldquay::testing
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -32,6 +32,8 @@
   std::function<ReplicaBehavior(const std::string& id)> behavior = [](const std::string&) {
     return ReplicaBehavior::kNormal;
   };
+  /// Time between two events of a stream.
+  absl::Duration event_gap = absl::Milliseconds(15);
   bool with_configuration = true;
   /// Puts a LinkProxy before the store, one per VM, and before every backend server.
   bool proxied = false;
