Do not let coordinators with different lists send the VMs to and fro

Cause, from its logs: for 1.2 s the three VMs had lists that differed in the entries of processes that were gone, each coordinator named another as the preferred one, and the VMs followed each word, up to three times within 1 ms. Streams that came in between were placed by a VM's local share. Change: a VM follows such a word at most every 2 s. Also, only decode engines with at least two streams are looked at in the search for silent ones. Ruled out: load; the refusals name the missing coordinator.

--- a/packages/dispatch/src/stream_scheduler_engines.cc
+++ b/packages/dispatch/src/stream_scheduler_engines.cc
@@ -67,7 +67,9 @@
 
 bool StreamScheduler::IsSilent(const Engine& decode, absl::Time now) const {
   const absl::Time overdue = now - kSilentOverdue;
-  if (decode.last_sign > overdue) return false;
+  const bool may_be =
+      decode.replica.role == EngineRole::kDecode && decode.running >= kSilentStreams;
+  if (!may_be || decode.last_sign > overdue) return false;
   const auto count = std::count_if(placed_.begin(), placed_.end(), [&](const auto& entry) {
     const Placed& placed = entry.second;
     return !placed.started && placed.decode == decode.replica.id && placed.first_event < overdue;
--- a/packages/fleet/include/marigoldquay/fleet/coordinator_link.h
+++ b/packages/fleet/include/marigoldquay/fleet/coordinator_link.h
@@ -158,6 +158,8 @@
   // When what the coordinator last passed on was read from the store.
   absl::Time feed_time_ = absl::InfinitePast();
   absl::Time last_frame_ = absl::InfinitePast();
+  // When this VM last followed a coordinator's word to another one.
+  absl::Time last_switch_ = absl::InfinitePast();
   // Set when a call was not answered in time, until the coordinator is heard again.
   bool silent_ = false;
   // Session whose first report has been sent.
--- a/packages/fleet/src/coordinator_link.cc
+++ b/packages/fleet/src/coordinator_link.cc
@@ -14,6 +14,9 @@
 using internal::ToWire;
 
 constexpr absl::Duration kConnectTimeout = absl::Milliseconds(250);
+// Coordinators whose lists of members differ send the VMs to each other until both have read the
+// same list.
+constexpr absl::Duration kSwitchPause = absl::Seconds(2);
 constexpr absl::Duration kNoCandidatePause = absl::Milliseconds(50);
 // For so long a VM that has just started waits for the list before it coordinates itself.
 constexpr absl::Duration kFirstListWait = absl::Milliseconds(500);
@@ -156,6 +159,7 @@
     call->wake.cancel();
   }
   StartSession(std::move(*connection), preferred);
+  last_switch_ = clock_.Now();
   return true;
 }
 
@@ -204,7 +208,8 @@
     feed_time_ = clock_.Now() - absl::Milliseconds(state.store_age_ms);
   }
   const FleetMember preferred = FromWire(*state.coordinator);
-  if (preferred.instance != coordinator_.instance) TrySwitch(preferred, yield);
+  if (preferred.instance == coordinator_.instance) return;
+  if (clock_.Now() - last_switch_ >= kSwitchPause) TrySwitch(preferred, yield);
 }
 
 void CoordinatorLink::OnReply(std::uint64_t call_id, const protocol::PlaceStreamReplyT& reply) {
