--- a/apps/marigoldquayd/platform_node.cc
+++ b/apps/marigoldquayd/platform_node.cc
@@ -114,20 +114,24 @@
         self_(MakeSelf(settings_)),
         balancer_(settings_.availability_zone, health_),
         budgets_(RetryLimits(1)),
-        presence_(io_, clock_, store_, self_, [this] { return NeedsMembers(); }),
+        presence_(
+            io_, clock_, store_, self_, [this] { return NeedsMembers(); },
+            [this] { return link_.Announces(); }),
         coordinator_(io_, clock_, view_, presence_, self_,
-                     [this] {
-                       return std::min(catalog_follower_.last_contact(),
-                                       replica_follower_.last_contact());
-                     }),
-        link_(io_, clock_, view_, presence_, *this, [this] { return Self(); }),
+                     {[this] { return std::max(StoreContact(), link_.feed_time()); },
+                      [this] { return link_.confirmed_coordinator(); },
+                      [this](const BackendServerId& id) { OnLeavingServer(id); }}),
+        link_(io_, clock_, view_, presence_, *this,
+              {[this] { return Self(); }, [this] { return StoreContact(); },
+               [this](absl::string_view vm) { return coordinator_.Serves(vm); }}),
         role_keeper_(
             io_, clock_, view_, store_, dialect_, connections_, coordinator_,
             {self_.instance.ToString(), settings_.order_lease, [this] { return MayOrder(); }}),
         catalog_follower_(io_, clock_, store_, view_, link_, [this] { OnCatalogChange(); }),
         replica_follower_(io_, clock_, store_, view_, link_, [this] { OnReplicaChange(); }),
         front_({io_, clock_, view_, dialect_, connections_, health_, balancer_, budgets_, link_,
-                link_, [this] { return link_.member_count(); }}),
+                link_, [this] { return link_.member_count(); },
+                [this](const BackendServerId& id) { OnLeavingServer(id); }}),
         directory_(
             [this] { return CallerAddresses(link_.members(), kMaxAddresses, RandomFraction); },
             [this] { return std::min(kAddressMaxAge, settings_.address_max_age); }),
@@ -176,7 +180,12 @@
     return self;
   }
 
-  bool NeedsMembers() const { return !link_.connected() || coordinator_.sessions() > 0; }
+  bool NeedsMembers() const { return link_.NeedsList() || coordinator_.sessions() > 0; }
+
+  // When this VM itself last heard from the store.
+  absl::Time StoreContact() const {
+    return std::min(catalog_follower_.last_contact(), replica_follower_.last_contact());
+  }
 
   // Engines change only on the word of a VM that coordinates and sees the present list.
   bool MayOrder() const {
@@ -210,10 +219,20 @@
     return started;
   }
 
-  void OnReplicaChanges(const ReplicaChanges& changes) override {
-    replica_follower_.ApplyFeed(changes);
+  void OnReplicaChanges(const ReplicaChanges& changes, bool whole) override {
+    replica_follower_.ApplyFeed(changes, whole);
+  }
+  void OnCatalog(std::uint64_t version, const std::string& record) override {
+    catalog_follower_.Announce(version, record);
+  }
+
+  // A backend server has said, here or to another VM, that it is leaving.
+  void OnLeavingServer(const BackendServerId& id) {
+    if (!view_.replicas().MarkDraining(id)) return;
+    Log().Event("backend_server_leaving", LogFields().Add("backend_server", id));
+    link_.OnLeavingServer(id);
+    OnReplicaChange();
   }
-  void OnCatalogVersion(std::uint64_t version) override { catalog_follower_.Announce(version); }
 
   void OnCatalogChange() {
     coordinator_.OnClusterChange();
@@ -262,6 +281,7 @@
                                                    static_cast<double>(settings_.quota_tolerance));
     coordinator_.SetQuotaTolerance(tolerance);
     link_.SetQuotaTolerance(tolerance);
+    link_.SetFeedBound(settings_.change_bound);
     budgets_.SetLimits(RetryLimits(link_.member_count()));
   }
 
--- a/packages/dispatch/include/marigoldquay/dispatch/quota_ledger.h
+++ b/packages/dispatch/include/marigoldquay/dispatch/quota_ledger.h
@@ -18,6 +18,9 @@
   bool admitted = false;
   /// When not admitted: the time until the tokens are there.
   absl::Duration retry_after;
+  /// When not admitted: whether that may change within a moment, as the ledger that decided is
+  /// still taking over from another one.
+  bool provisional = false;
 
   bool operator==(const QuotaDecision&) const = default;
 };
--- a/packages/dispatch/include/marigoldquay/dispatch/replica_balancer.h
+++ b/packages/dispatch/include/marigoldquay/dispatch/replica_balancer.h
@@ -33,9 +33,9 @@
   ReplicaBalancer(std::string availability_zone, ReplicaHealth& health)
       : availability_zone_(std::move(availability_zone)), health_(health) {}
 
-  /// The replica with the least expected time among `ready`; nullopt when all are excluded. A
-  /// suspended replica is chosen only when no other is left. With `proven_only`, replicas on trial
-  /// are avoided as well.
+  /// The replica with the least expected time among `ready`; nullopt when all are excluded or want
+  /// no requests. A suspended replica is chosen only when no other is left. With `proven_only`,
+  /// replicas on trial are avoided as well.
   std::optional<Replica> Pick(std::span<const Replica> ready,
                               std::span<const BackendServerId> excluded, bool proven_only,
                               absl::Time now);
--- a/packages/dispatch/include/marigoldquay/dispatch/replica_health.h
+++ b/packages/dispatch/include/marigoldquay/dispatch/replica_health.h
@@ -5,6 +5,7 @@
 
 #include <span>
 #include <string>
+#include <vector>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/strings/string_view.h"
@@ -31,6 +32,12 @@
   void Record(absl::string_view id, ReplicaOutcome outcome, absl::Time now);
   /// Another start of a server has its address; it gets no requests until it is forgotten.
   void RecordGone(absl::string_view id);
+  /// The server wants no requests from this VM until then.
+  void RecordRetryAfter(absl::string_view id, absl::Time until);
+  /// Until when the server wants no requests; in the past when it takes some.
+  absl::Time refused_until(absl::string_view id) const;
+  /// Servers that want no requests now.
+  std::vector<BackendServerId> Refusing(absl::Time now) const;
   /// Whether the server may get a request now: it is not suspended, or a trial is due.
   bool Available(absl::string_view id, absl::Time now) const;
   /// Whether the server has answered since its last suspension. A non-idempotent request is better
@@ -50,6 +57,7 @@
     int consecutive_unreachable = 0;
     absl::Duration backoff;
     absl::Time suspended_until = absl::InfinitePast();
+    absl::Time refused_until = absl::InfinitePast();
   };
 
   const State* Find(absl::string_view id) const;
--- a/packages/dispatch/tests/replica_health_test.cc
+++ b/packages/dispatch/tests/replica_health_test.cc
@@ -4,6 +4,8 @@
 #include <boost/test/unit_test.hpp>
 #include <vector>
 
+#include "marigoldquay/dispatch/replica_balancer.h"
+
 namespace marigoldquay {
 namespace {
 
@@ -53,6 +55,22 @@
   BOOST_TEST(health.FailureRate("b") > 0.0);
 }
 
+// Guards against requests to a server that has asked for a pause, also when no other is left.
+BOOST_AUTO_TEST_CASE(server_that_asked_for_a_pause_gets_nothing) {
+  ReplicaHealth health;
+  ReplicaBalancer balancer("z1", health);
+  Replica replica;
+  replica.id = "a";
+  const std::vector<Replica> ready = {replica};
+  const absl::Time now = absl::FromUnixSeconds(100);
+  health.RecordRetryAfter("a", now + absl::Seconds(2));
+  health.Record("a", ReplicaOutcome::kGood, now);
+  BOOST_TEST(!balancer.Pick(ready, {}, false, now + absl::Seconds(1)).has_value());
+  BOOST_TEST(health.Refusing(now + absl::Seconds(1)).size() == 1);
+  BOOST_TEST(balancer.Pick(ready, {}, false, now + absl::Seconds(3)).has_value());
+  BOOST_TEST(health.Refusing(now + absl::Seconds(3)).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/packages/fleet/include/marigoldquay/fleet/cluster_store.h
+++ b/packages/fleet/include/marigoldquay/fleet/cluster_store.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "marigoldquay/core/error_or.h"
 #include "marigoldquay/core/types.h"
@@ -21,6 +22,8 @@
 struct CatalogUpdate {
   /// The newest configuration that was read; unset when there was none.
   std::optional<CatalogContents> catalog;
+  /// Its stored form.
+  std::string record;
   /// Where to read on.
   Offset next = 0;
 };
@@ -45,6 +48,8 @@
   virtual ErrorOr<CatalogUpdate> NewestCatalog(Yield yield) = 0;
   /// Waits up to `wait` for configurations from `from` on.
   virtual ErrorOr<CatalogUpdate> AwaitCatalog(Offset from, absl::Duration wait, Yield yield) = 0;
+  /// Decodes the stored form of a configuration that another VM has passed on.
+  virtual ErrorOr<CatalogContents> DecodeCatalog(absl::string_view record) const = 0;
   /// All backend servers.
   virtual ErrorOr<ReplicaUpdate> ListReplicas(Yield yield) = 0;
   /// Changes of the list from `from` on, without waiting.
--- a/packages/fleet/include/marigoldquay/fleet/coordinator.h
+++ b/packages/fleet/include/marigoldquay/fleet/coordinator.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -16,6 +17,7 @@
 #include "marigoldquay/dispatch/stream_scheduler.h"
 #include "marigoldquay/fleet/frame_connection.h"
 #include "marigoldquay/fleet/member.h"
+#include "marigoldquay/fleet/member_table.h"
 #include "marigoldquay/routing/cluster_view.h"
 
 namespace marigoldquay {
@@ -32,11 +34,20 @@
   virtual bool settled() const = 0;
 };
 
+/// What the coordinator needs to know of the VM that it runs on.
+struct CoordinatorHooks {
+  /// When what this VM knows of the store was read there, by itself or by another VM.
+  std::function<absl::Time()> knowledge_time;
+  /// The coordinator that this VM reports to itself, once that one has confirmed that it is one.
+  std::function<std::optional<FleetMember>()> followed;
+  /// A VM has seen that the backend server is leaving.
+  std::function<void(const BackendServerId&)> on_leaving_server;
+};
+
 class Coordinator {
  public:
   Coordinator(asio::io_context& io, const Clock& clock, const ClusterView& view,
-              const MemberSource& source, FleetMember self,
-              std::function<absl::Time()> last_store_contact);
+              const MemberSource& source, FleetMember self, CoordinatorHooks hooks);
 
   /// Listens for the other VMs; fails with kUnavailable when the address cannot be bound.
   ErrorOrVoid Start();
@@ -57,6 +68,8 @@
   }
 
   std::size_t sessions() const { return sessions_.size(); }
+  /// Whether the VM reports here.
+  bool Serves(absl::string_view vm) const { return reporting_.contains(vm); }
 
  private:
   struct Session {
@@ -65,9 +78,12 @@
     bool reported = false;
     // Number of VMs that it had last heard of when the session began; 0 when unknown.
     std::size_t known_members = 0;
+    // When the VM itself last heard from the store.
+    absl::Time store_contact = absl::InfinitePast();
     // What the VM was told last.
     std::uint64_t sent_members = 0;
     std::uint64_t sent_replicas = 0;
+    std::uint64_t sent_catalog = 0;
     // Tickets by service, so that they end with the session.
     std::set<std::pair<std::string, std::uint64_t>> tickets;
   };
@@ -98,28 +114,40 @@
   StreamScheduler& SchedulerOf(const std::string& service);
   void RunWaiting(Yield yield);
   void SendStates(Yield yield);
+  void ForgetMember(const Session& session);
+  // Whom the VMs are to ask from now on.
   FleetMember Preferred() const;
+  std::optional<FleetMember> Successor() const;
+  std::optional<FleetMember> BestInContact() const;
   protocol::FleetStateT MakeState();
-  void CountMemberChanges();
-  void AddChanges(Session& session, protocol::FleetStateT& state) const;
+  // Whether the configuration is sent to VMs that have an older one, or left to their own reads.
+  bool SendsCatalog() const;
+  void AddMembers(std::uint64_t since, protocol::FleetStateT& state) const;
+  void AddReplicas(std::uint64_t since, protocol::FleetStateT& state) const;
+  void AddCatalog(std::uint64_t since, protocol::FleetStateT& state) const;
+  void SendStateToAll();
   std::size_t MemberCount() const;
   absl::Duration StateInterval() const;
+  // Sends the next state soon rather than at the end of the interval.
+  void SendStateSoon();
 
   asio::io_context& io_;
   const Clock& clock_;
   const ClusterView& view_;
   const MemberSource& source_;
   const FleetMember self_;
-  std::function<absl::Time()> last_store_contact_;
+  const CoordinatorHooks hooks_;
   Tcp::acceptor acceptor_;
+  asio::steady_timer state_timer_;
   // Owned by the fibers that serve them.
   std::set<Session*> sessions_;
   std::map<std::string, StreamScheduler> schedulers_;
   std::map<TicketKey, Waiting> waiting_;
   QuotaLedger quota_{0};
-  // Reporting members as they were last sent, and how often they have changed.
-  std::vector<FleetMember> members_;
-  std::uint64_t members_version_ = 0;
+  MemberTable reporting_;
+  // VMs whose session has ended, until they no longer count for the quotas: they may act on their
+  // own for so long.
+  std::map<std::string, absl::Time> departed_;
   bool advancing_ = false;
   bool leaving_ = false;
 };
--- a/packages/fleet/include/marigoldquay/fleet/followers.h
+++ b/packages/fleet/include/marigoldquay/fleet/followers.h
@@ -39,8 +39,9 @@
 
   /// Runs until the process ends.
   void Run(Yield yield);
-  /// The coordinator knows this version.
-  void Announce(std::uint64_t version);
+  /// The coordinator knows this version. `record` is its stored form; when it is empty or cannot be
+  /// read, the store is asked.
+  void Announce(std::uint64_t version, const std::string& record);
   /// When the store last answered.
   absl::Time last_contact() const { return last_contact_; }
 
@@ -48,7 +49,7 @@
   bool FollowsFeed() const;
   absl::Duration LongestPause() const;
   ErrorOr<CatalogUpdate> ReadNext(Yield yield);
-  void Apply(CatalogUpdate update);
+  void Apply(CatalogUpdate update, absl::string_view source);
   void ReportContact(bool reached, const std::string& detail);
 
   asio::io_context& io_;
@@ -80,13 +81,13 @@
         on_change_(std::move(on_change)) {}
 
   void Run(Yield yield);
-  /// Takes over changes that the coordinator sent.
-  void ApplyFeed(const ReplicaChanges& changes);
+  /// Takes over changes that the coordinator sent; `whole` tells whether they name all servers.
+  void ApplyFeed(const ReplicaChanges& changes, bool whole);
   /// When the store last answered.
   absl::Time last_contact() const { return last_contact_; }
 
  private:
-  void Apply(const ReplicaUpdate& update, bool whole_list);
+  void Apply(const ReplicaUpdate& update, bool whole_list, absl::string_view source);
   void Set(const Replica& replica, absl::string_view source);
   void ReadOnce(Yield yield);
   void RemoveExpired();
--- a/packages/fleet/include/marigoldquay/fleet/frame_connection.h
+++ b/packages/fleet/include/marigoldquay/fleet/frame_connection.h
@@ -27,13 +27,21 @@
   static ErrorOr<FrameConnectionPtr> Connect(asio::io_context& io, const Address& peer,
                                              absl::Duration timeout, Yield yield);
 
+  /// A frame as bytes, for connections that all get the same.
   template <class ObjectT>
-  void Send(protocol::MessageType type, std::uint64_t call_id, const ObjectT& message) {
+  static std::string Encode(protocol::MessageType type, std::uint64_t call_id,
+                            const ObjectT& message) {
     FrameHeader header;
     header.type = type;
     header.call_id = call_id;
-    SendBytes(EncodeFrame(header, EncodeMessage(message)));
+    return EncodeFrame(header, EncodeMessage(message));
+  }
+  template <class ObjectT>
+  void Send(protocol::MessageType type, std::uint64_t call_id, const ObjectT& message) {
+    SendBytes(Encode(type, call_id, message));
   }
+  /// Sends a whole frame.
+  void SendBytes(const std::string& bytes);
 
   /// The next frame; fails when the connection ends or nothing comes for `timeout`.
   ErrorOr<Frame> Read(absl::Duration timeout, Yield yield);
@@ -45,7 +53,6 @@
  private:
   explicit FrameConnection(Tcp::socket socket);
 
-  void SendBytes(const std::string& bytes);
   void WriteNext();
 
   Tcp::socket socket_;
--- a/packages/fleet/include/marigoldquay/fleet/presence_keeper.h
+++ b/packages/fleet/include/marigoldquay/fleet/presence_keeper.h
@@ -15,16 +15,17 @@
 
 class PresenceKeeper final : public MemberSource {
  public:
-  /// `needs_members` tells whether this VM has to know the list now: reading it costs a call, and
-  /// VMs with a coordinator get it from there.
+  /// `needs_members` tells whether this VM has to know the list now, and `announces` whether others
+  /// have to find it there: each costs calls, and VMs with a coordinator know each other from it.
   PresenceKeeper(asio::io_context& io, const Clock& clock, ClusterStore& store, FleetMember self,
-                 std::function<bool()> needs_members)
+                 std::function<bool()> needs_members, std::function<bool()> announces)
       : io_(io),
         clock_(clock),
         store_(store),
         name_(self.ToName()),
         listed_({std::move(self)}),
-        needs_members_(std::move(needs_members)) {}
+        needs_members_(std::move(needs_members)),
+        announces_(std::move(announces)) {}
 
   void Run(Yield yield);
   /// Withdraws the announcement.
@@ -48,6 +49,7 @@
   // In the order of coordination; never empty.
   std::vector<FleetMember> listed_;
   std::function<bool()> needs_members_;
+  std::function<bool()> announces_;
   absl::Time first_read_at_ = absl::InfiniteFuture();
   absl::Time read_at_ = absl::InfinitePast();
   bool leaving_ = false;
--- a/packages/fleet/src/coordinator.cc
+++ b/packages/fleet/src/coordinator.cc
@@ -18,6 +18,10 @@
 
 constexpr absl::Duration kAdvanceInterval = absl::Milliseconds(20);
 constexpr absl::Duration kSessionTimeout = absl::Seconds(4);
+// With a smaller share, VMs that are about to report here hold a part of the rates.
+constexpr double kWholeShare = 0.9;
+// The life of an entry in the store's list of VMs.
+constexpr absl::Duration kDepartedMemory = absl::Seconds(5);
 
 const Logger& Log() {
   static const Logger logger("sched");
@@ -45,15 +49,15 @@
 }  // namespace
 
 Coordinator::Coordinator(asio::io_context& io, const Clock& clock, const ClusterView& view,
-                         const MemberSource& source, FleetMember self,
-                         std::function<absl::Time()> last_store_contact)
+                         const MemberSource& source, FleetMember self, CoordinatorHooks hooks)
     : io_(io),
       clock_(clock),
       view_(view),
       source_(source),
       self_(std::move(self)),
-      last_store_contact_(std::move(last_store_contact)),
-      acceptor_(io) {}
+      hooks_(std::move(hooks)),
+      acceptor_(io),
+      state_timer_(io) {}
 
 ErrorOrVoid Coordinator::Start() {
   const auto endpoint = ParseEndpoint(self_.inner_address);
@@ -106,6 +110,7 @@
 void Coordinator::EndSession(Session& session, const std::string& why) {
   session.connection->Close();
   sessions_.erase(&session);
+  ForgetMember(session);
   // The VM's requests end with it, or it tells them to another coordinator.
   for (const auto& [service, ticket] : session.tickets) {
     waiting_.erase({service, ticket});
@@ -118,6 +123,17 @@
   Log().Event("vm_session_ended", fields);
 }
 
+void Coordinator::ForgetMember(const Session& session) {
+  if (!session.reported) return;
+  const std::string& vm = session.member.instance.vm;
+  const bool has_other = std::any_of(sessions_.begin(), sessions_.end(), [&](const Session* other) {
+    return other->reported && other->member.instance.vm == vm;
+  });
+  if (has_other) return;
+  reporting_.Remove(vm);
+  departed_[vm] = clock_.Now() + kDepartedMemory;
+}
+
 void Coordinator::OnFrame(Session& session, const Frame& frame) {
   const std::string& peer = session.connection->peer();
   const auto handle = [&](auto decoded, auto&& action) {
@@ -162,6 +178,9 @@
     if (workspace != nullptr) quota_.ExpectLevel(*workspace, entry->tokens, clock_.Now());
   }
   session.reported = true;
+  session.sent_catalog = report.catalog_version;
+  departed_.erase(session.member.instance.vm);
+  SendStateSoon();
   session.known_members = report.member_count;
   UpdateQuotaShare();
   LogFields fields;
@@ -174,8 +193,12 @@
 }
 
 void Coordinator::OnReport(Session& session, const protocol::FleetReportT& report) {
+  const absl::Time now = clock_.Now();
   session.member = FromWire(*report.sender);
+  session.store_contact = now - absl::Milliseconds(report.store_age_ms);
+  reporting_.Set(session.member);
   if (!session.reported) OnFirstReport(session, report);
+  for (const auto& server : report.leaving_servers) hooks_.on_leaving_server(server);
   const auto catalog = view_.catalog();
   if (!catalog) return;
   for (const auto& entry : report.spent) {
@@ -199,6 +222,7 @@
 void Coordinator::OnClusterChange() {
   const auto catalog = view_.catalog();
   if (!catalog) return;
+  SendStateSoon();
   for (auto& [service, scheduler] : schedulers_) {
     const auto* configured = catalog->FindService(service);
     if (configured == nullptr || !configured->engine) continue;
@@ -215,6 +239,7 @@
   if (decision.admitted) return true;
   refusal.status = protocol::PlaceStreamStatus::OverQuota;
   refusal.reason = "beyond the rate of the workspace";
+  refusal.provisional = quota_.share() < kWholeShare;
   refusal.retry_after_ms =
       static_cast<std::uint32_t>(absl::ToInt64Milliseconds(decision.retry_after));
   return false;
@@ -247,7 +272,7 @@
   }
   const auto decision = scheduler.Place(DemandFromWire(request, now), now);
   LogDecision(request.request_id, session.member.instance.vm, decision, view_.replicas().version(),
-              scheduler.Describe(now));
+              scheduler.Describe(decision, now));
   if (decision.verdict == StreamVerdict::kQueued) {
     waiting_[{request.service, decision.ticket}] = {&session, call_id, request.request_id};
     session.tickets.insert({request.service, decision.ticket});
@@ -333,7 +358,7 @@
         const Waiting waiting = found->second;
         waiting_.erase(found);
         LogDecision(waiting.request_id, waiting.session->member.instance.vm, decision,
-                    view_.replicas().version(), scheduler.Describe(clock_.Now()));
+                    view_.replicas().version(), scheduler.Describe(decision, clock_.Now()));
         Answer(*waiting.session, waiting.call_id, service, decision);
       }
     }
--- a/packages/fleet/src/coordinator_link_placing.cc
+++ b/packages/fleet/src/coordinator_link_placing.cc
@@ -11,6 +11,15 @@
 
 // A coordinator that takes longer is slow, frozen or cut off.
 constexpr absl::Duration kFirstReplyTimeout = absl::Milliseconds(150);
+// An answer may be late by this much beyond the next state that is due.
+constexpr absl::Duration kReplySlack = absl::Milliseconds(200);
+constexpr absl::Duration kLongestReplyTimeout = absl::Milliseconds(700);
+// Longest time that a request waits for another coordinator and for it to hear of the other VMs.
+constexpr absl::Duration kHandOverWait = absl::Milliseconds(1200);
+constexpr absl::Duration kPlainHandOverWait = absl::Milliseconds(500);
+constexpr absl::Duration kHandOverPoll = absl::Milliseconds(20);
+// Before a coordinator that does not know all VMs yet is asked again.
+constexpr absl::Duration kProvisionalPause = absl::Milliseconds(100);
 // Workspaces whose bucket is at least this part full are left out of the levels.
 constexpr TokenCount kLeftOutPart = 2;
 // A refusal also holds for the requests that follow at once.
@@ -51,6 +60,7 @@
 
 void CoordinatorLink::BecomeSilent() {
   if (std::exchange(silent_, true)) return;
+  silent_since_ = clock_.Now();
   local_quota_.Reset();
   local_quota_.SetShare(0);
   const auto catalog = view_.catalog();
@@ -85,17 +95,47 @@
   return &call.replies[index];
 }
 
+bool CoordinatorLink::MayStillAnswer(absl::Time asked) const {
+  const absl::Time now = clock_.Now();
+  if (now - asked >= kLongestReplyTimeout) return false;
+  return now < std::max(asked, last_frame_) + report_interval_ + kReplySlack;
+}
+
+const protocol::PlaceStreamReplyT* CoordinatorLink::AwaitFirstReply(Call& call,
+                                                                    Cancellation& cancellation,
+                                                                    Yield yield) {
+  const absl::Time asked = clock_.Now();
+  const auto connection = connection_;
+  const auto* reply = AwaitReply(call, 0, asked + kFirstReplyTimeout, cancellation, yield);
+  while (reply == nullptr && !call.session_ended && !cancellation.cancelled() &&
+         MayStillAnswer(asked)) {
+    reply = AwaitReply(call, 0, clock_.Now() + kHandOverPoll, cancellation, yield);
+  }
+  if (reply != nullptr || call.session_ended || cancellation.cancelled()) return reply;
+  // Nothing has come since: the coordinator is gone, cut off or frozen.
+  if (last_frame_ < asked && connection == connection_) connection->Close();
+  BecomeSilent();
+  return nullptr;
+}
+
+bool CoordinatorLink::AwaitSession(absl::Time until, Cancellation& cancellation, Yield yield) {
+  // A VM that has found no other coordinator for so long is on its own.
+  const absl::Time last = std::min(until, silent_since_ + kHandOverWait);
+  while (!Responsive() && !cancellation.cancelled() && clock_.Now() < last) {
+    SleepFor(io_, kHandOverPoll, yield);
+  }
+  return Responsive();
+}
+
 std::optional<PlacementOutcome> CoordinatorLink::PlaceByCoordinator(
     const StreamPlacementRequest& request, Cancellation& cancellation, Yield yield) {
   Call call(*this);
   const std::uint64_t session = session_;
   connection_->Send(protocol::MessageType::PlaceStream, call.id,
                     internal::ToWire(request, clock_.Now()));
-  const auto* reply = AwaitReply(call, 0, clock_.Now() + kFirstReplyTimeout, cancellation, yield);
+  const auto* reply = AwaitFirstReply(call, cancellation, yield);
   if (reply != nullptr && !IsFinal(*reply)) {
     reply = AwaitReply(call, 1, request.demand.give_up, cancellation, yield);
-  } else if (reply == nullptr && !cancellation.cancelled()) {
-    BecomeSilent();
   }
   if (reply == nullptr) {
     // A queued or late placement must not keep engines reserved.
@@ -111,6 +151,7 @@
   if (reply->status == protocol::PlaceStreamStatus::Granted) return Register(request, *reply);
   PlacementRefusal refusal;
   refusal.over_quota = reply->status == protocol::PlaceStreamStatus::OverQuota;
+  refusal.provisional = refusal.over_quota && reply->provisional;
   refusal.retry_after = absl::Milliseconds(reply->retry_after_ms);
   refusal.reason = reply->reason;
   return refusal;
@@ -131,13 +172,20 @@
 
 PlacementOutcome CoordinatorLink::Place(const StreamPlacementRequest& request,
                                         Cancellation& cancellation, Yield yield) {
-  if (Responsive()) {
+  const absl::Time until = std::min(clock_.Now() + kHandOverWait, request.demand.give_up);
+  while (AwaitSession(until, cancellation, yield)) {
     auto outcome = PlaceByCoordinator(request, cancellation, yield);
-    if (outcome) return std::move(*outcome);
-    if (cancellation.cancelled()) return PlacementRefusal{false, absl::ZeroDuration(), "cancelled"};
-    if (clock_.Now() >= request.demand.give_up) {
-      return PlacementRefusal{false, kLocalRetryAfter, "no capacity before its caller leaves"};
+    if (outcome) {
+      const auto* refusal = std::get_if<PlacementRefusal>(&*outcome);
+      const bool again = refusal != nullptr && refusal->provisional;
+      if (!again || clock_.Now() + kProvisionalPause >= until) return std::move(*outcome);
+      SleepFor(io_, kProvisionalPause, yield);
     }
+    if (cancellation.cancelled() || clock_.Now() >= until) break;
+  }
+  if (cancellation.cancelled()) return PlacementRefusal{false, absl::ZeroDuration(), "cancelled"};
+  if (clock_.Now() >= request.demand.give_up) {
+    return PlacementRefusal{false, kLocalRetryAfter, "no capacity before its caller leaves"};
   }
   return PlaceLocally(request);
 }
@@ -255,15 +303,13 @@
   request.charge = tokens;
   Call call(*this);
   connection_->Send(protocol::MessageType::PlaceStream, call.id, request);
-  const auto* reply = AwaitReply(call, 0, clock_.Now() + kFirstReplyTimeout, cancellation, yield);
-  if (reply == nullptr) {
-    if (!cancellation.cancelled()) BecomeSilent();
-    return std::nullopt;
-  }
+  const auto* reply = AwaitFirstReply(call, cancellation, yield);
+  if (reply == nullptr) return std::nullopt;
   if (reply->status == protocol::PlaceStreamStatus::Granted) {
     return QuotaDecision{true, absl::ZeroDuration()};
   }
   const absl::Duration retry_after = absl::Milliseconds(reply->retry_after_ms);
+  if (reply->provisional) return QuotaDecision{false, retry_after, true};
   refused_until_[workspace.name] = clock_.Now() + std::min(retry_after, kRefusalMemory);
   return QuotaDecision{false, retry_after};
 }
@@ -271,7 +317,8 @@
 QuotaDecision CoordinatorLink::Admit(const CatalogWorkspace& workspace, TokenCount tokens,
                                      Cancellation& cancellation, Yield yield) {
   if (!workspace.quota.limited()) return {true, absl::ZeroDuration()};
-  if (Responsive()) {
+  const absl::Time until = clock_.Now() + kPlainHandOverWait;
+  while (AwaitSession(until, cancellation, yield)) {
     const auto refused = refused_until_.find(workspace.name);
     if (refused != refused_until_.end() && clock_.Now() < refused->second) {
       return {false, refused->second - clock_.Now()};
@@ -283,7 +330,12 @@
       return {true, absl::ZeroDuration()};
     }
     const auto decision = AskForTokens(workspace, tokens, cancellation, yield);
-    if (decision) return *decision;
+    if (decision && !decision->provisional) return *decision;
+    if (cancellation.cancelled() || clock_.Now() + kProvisionalPause >= until) {
+      if (decision) return *decision;
+      break;
+    }
+    if (decision) SleepFor(io_, kProvisionalPause, yield);
   }
   return AdmitLocally(workspace, tokens);
 }
--- a/packages/fleet/src/followers.cc
+++ b/packages/fleet/src/followers.cc
@@ -22,7 +22,7 @@
 constexpr absl::Duration kStaleReadPause = absl::Milliseconds(150);
 // Longest pause after failures. The VMs that follow a feed learn of the store's return from there,
 // and the bound of 2 s on a configuration holds with what is left.
-constexpr absl::Duration kLongestRetryPause = absl::Milliseconds(1200);
+constexpr absl::Duration kLongestRetryPause = absl::Milliseconds(1600);
 constexpr absl::Duration kLongestFeedingRetryPause = absl::Milliseconds(250);
 // A VM that others rely on reads more often, as the others learn of changes a report later.
 constexpr absl::Duration kFeedingWait = absl::Milliseconds(400);
@@ -48,23 +48,34 @@
   Log().Event(reached ? "dependency_regained" : "dependency_lost", fields, LogLevel::kWarn);
 }
 
-void CatalogFollower::Apply(CatalogUpdate update) {
-  next_ = update.next;
+void CatalogFollower::Apply(CatalogUpdate update, absl::string_view source) {
   if (!update.catalog) return;
   const std::uint64_t version = update.catalog->version;
   const std::uint64_t before = view_.catalog() ? view_.catalog()->version() : 0;
-  const bool applied = view_.Apply(std::move(*update.catalog));
+  const bool applied = view_.Apply(std::move(*update.catalog), std::move(update.record));
   if (!applied && version == before) return;
   LogFields fields;
   fields.Add("version", version)
       .Add("version_before", before)
-      .Add("offset", update.next)
+      .Add("source", source)
       .Add("outcome", applied ? "in force" : "older than the one in force");
   Log().Event("configuration", fields);
   if (applied) on_change_();
 }
 
-void CatalogFollower::Announce(std::uint64_t version) {
+void CatalogFollower::Announce(std::uint64_t version, const std::string& record) {
+  const std::uint64_t known = view_.catalog() ? view_.catalog()->version() : 0;
+  if (version > known && !record.empty()) {
+    auto contents = store_.DecodeCatalog(record);
+    if (contents) {
+      // Where the store's log goes on behind this version is not known.
+      next_.reset();
+      Apply({std::move(*contents), record, 0}, "coordinator");
+    } else {
+      Log().Event("configuration_skipped", LogFields().Add("reason", contents.error().ToString()),
+                  LogLevel::kWarn);
+    }
+  }
   if (version <= announced_) return;
   announced_ = version;
   wake_.cancel();
@@ -100,7 +111,8 @@
       ReportContact(true, "");
       const bool news = update->catalog.has_value();
       const bool known = news || view_.catalog() != nullptr;
-      Apply(std::move(*update));
+      next_ = update->next;
+      Apply(std::move(*update), "store");
       if (!known) next_.reset();
       // A stale read of what the feed has announced is repeated after a pause.
       if (!known || (!news && FollowsFeed())) SleepFor(io_, kStaleReadPause, yield);
@@ -127,29 +139,20 @@
   Log().Event("backend_server", fields);
 }
 
-void ReplicaFollower::ApplyFeed(const ReplicaChanges& changes) {
-  const std::uint64_t before = view_.replicas().version();
-  for (const Replica& replica : changes.listed) {
-    vanished_.erase(replica.id);
-    Set(replica, "coordinator");
-  }
-  for (const auto& id : changes.removed) {
-    if (!view_.replicas().Remove(id)) continue;
-    Log().Event("backend_server_gone",
-                LogFields().Add("backend_server", id).Add("source", "coordinator"));
-  }
-  if (view_.replicas().version() != before) on_change_();
+void ReplicaFollower::ApplyFeed(const ReplicaChanges& changes, bool whole) {
+  if (!whole && changes.listed.empty() && changes.removed.empty()) return;
+  Apply({changes.listed, changes.removed, {}, 0}, whole, "coordinator");
 }
 
-void ReplicaFollower::Apply(const ReplicaUpdate& update, bool whole_list) {
-  next_ = update.next;
+void ReplicaFollower::Apply(const ReplicaUpdate& update, bool whole_list,
+                            absl::string_view source) {
   auto& table = view_.replicas();
   const std::uint64_t before = table.version();
   absl::flat_hash_set<BackendServerId> listed;
   for (const Replica& replica : update.listed) {
     listed.insert(replica.id);
     vanished_.erase(replica.id);
-    Set(replica, "store");
+    Set(replica, source);
   }
   for (const std::string& reason : update.skipped) {
     Log().Event("backend_server_entry_skipped", LogFields().Add("reason", reason), LogLevel::kWarn);
@@ -188,7 +191,8 @@
     last_contact_ = clock_.Now();
     retry_delay_.Reset();
     if (std::exchange(away_, false)) returned_at_ = clock_.Now();
-    Apply(*update, whole_list);
+    next_ = update->next;
+    Apply(*update, whole_list, "store");
     SleepFor(io_, feed_.FeedsOthers() ? kFeedingPoll : kReplicaPoll, yield);
     return;
   }
--- /dev/null
+++ b/packages/fleet/src/member_table.cc
@@ -0,0 +1,57 @@
+// VMs that report to a coordinator.
+#include "marigoldquay/fleet/member_table.h"
+
+#include <utility>
+
+namespace marigoldquay {
+namespace {
+
+// More than all VMs of a large deployment stopping between two states.
+constexpr std::size_t kMaxRemovals = 1000;
+
+}  // namespace
+
+void MemberTable::Set(const FleetMember& member) {
+  Entry& entry = entries_[member.instance.vm];
+  if (entry.changed_at > 0 && entry.member == member) return;
+  entry.member = member;
+  entry.changed_at = ++version_;
+}
+
+void MemberTable::Remove(absl::string_view vm) {
+  const auto found = entries_.find(vm);
+  if (found == entries_.end()) return;
+  removals_.push_back({++version_, found->first});
+  entries_.erase(found);
+  if (removals_.size() <= kMaxRemovals) return;
+  forgotten_ = removals_.front().version;
+  removals_.pop_front();
+}
+
+void MemberTable::Apply(const MemberChanges& changes) {
+  if (changes.whole) entries_.clear();
+  for (const FleetMember& member : changes.changed) Set(member);
+  for (const std::string& vm : changes.removed) Remove(vm);
+}
+
+MemberChanges MemberTable::ChangesSince(std::uint64_t version) const {
+  MemberChanges changes;
+  changes.whole = version == 0 || version < forgotten_;
+  for (const auto& [vm, entry] : entries_) {
+    if (changes.whole || entry.changed_at > version) changes.changed.push_back(entry.member);
+  }
+  if (changes.whole) return changes;
+  for (const Removal& removal : removals_) {
+    if (removal.version > version && !contains(removal.vm)) changes.removed.push_back(removal.vm);
+  }
+  return changes;
+}
+
+std::vector<FleetMember> MemberTable::Ranked() const {
+  std::vector<FleetMember> members;
+  for (const auto& [vm, entry] : entries_) members.push_back(entry.member);
+  SortForCoordination(members);
+  return members;
+}
+
+}  // namespace marigoldquay
--- a/packages/fleet/src/presence_keeper.cc
+++ b/packages/fleet/src/presence_keeper.cc
@@ -25,13 +25,13 @@
 void PresenceKeeper::Run(Yield yield) {
   absl::Time next_renewal = absl::InfinitePast();
   while (!leaving_) {
-    if (clock_.Now() >= next_renewal) {
+    if (clock_.Now() >= next_renewal && announces_()) {
       next_renewal = clock_.Now() + kRenewalInterval;
       Renew(yield);
     }
     if (!leaving_ && needs_members_()) ReadMembers(yield);
-    const absl::Duration left = next_renewal - clock_.Now();
-    SleepFor(io_, std::clamp(left, kShortestPause, kListInterval), yield);
+    const absl::Duration left = std::max(next_renewal - clock_.Now(), kShortestPause);
+    SleepFor(io_, std::min(announces_() ? left : kListInterval, kListInterval), yield);
   }
 }
 
--- a/packages/protocol/include/marigoldquay/protocol/inner_generated.h
+++ b/packages/protocol/include/marigoldquay/protocol/inner_generated.h
@@ -4786,6 +4786,9 @@
   std::vector<std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT>> spent{};
   uint32_t member_count = 0;
   std::vector<std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT>> levels{};
+  uint32_t store_age_ms = 0;
+  std::vector<std::string> leaving_servers{};
+  uint64_t catalog_version = 0;
   FleetReportT() = default;
   FleetReportT(const FleetReportT &o);
   FleetReportT(FleetReportT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4803,7 +4806,10 @@
     VT_SENDER = 4,
     VT_SPENT = 6,
     VT_MEMBER_COUNT = 8,
-    VT_LEVELS = 10
+    VT_LEVELS = 10,
+    VT_STORE_AGE_MS = 12,
+    VT_LEAVING_SERVERS = 14,
+    VT_CATALOG_VERSION = 16
   };
   const marigoldquay::protocol::FleetMember *sender() const {
     return GetPointer<const marigoldquay::protocol::FleetMember *>(VT_SENDER);
@@ -4817,6 +4823,15 @@
   const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>> *levels() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>> *>(VT_LEVELS);
   }
+  uint32_t store_age_ms() const {
+    return GetField<uint32_t>(VT_STORE_AGE_MS, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *leaving_servers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_LEAVING_SERVERS);
+  }
+  uint64_t catalog_version() const {
+    return GetField<uint64_t>(VT_CATALOG_VERSION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_SENDER) &&
@@ -4828,6 +4843,11 @@
            VerifyOffset(verifier, VT_LEVELS) &&
            verifier.VerifyVector(levels()) &&
            verifier.VerifyVectorOfTables(levels()) &&
+           VerifyField<uint32_t>(verifier, VT_STORE_AGE_MS, 4) &&
+           VerifyOffset(verifier, VT_LEAVING_SERVERS) &&
+           verifier.VerifyVector(leaving_servers()) &&
+           verifier.VerifyVectorOfStrings(leaving_servers()) &&
+           VerifyField<uint64_t>(verifier, VT_CATALOG_VERSION, 8) &&
            verifier.EndTable();
   }
   FleetReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4851,6 +4871,15 @@
   void add_levels(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>>> levels) {
     fbb_.AddOffset(FleetReport::VT_LEVELS, levels);
   }
+  void add_store_age_ms(uint32_t store_age_ms) {
+    fbb_.AddElement<uint32_t>(FleetReport::VT_STORE_AGE_MS, store_age_ms, 0);
+  }
+  void add_leaving_servers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> leaving_servers) {
+    fbb_.AddOffset(FleetReport::VT_LEAVING_SERVERS, leaving_servers);
+  }
+  void add_catalog_version(uint64_t catalog_version) {
+    fbb_.AddElement<uint64_t>(FleetReport::VT_CATALOG_VERSION, catalog_version, 0);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4868,8 +4897,14 @@
     flatbuffers::Offset<marigoldquay::protocol::FleetMember> sender = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>>> spent = 0,
     uint32_t member_count = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>>> levels = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>>> levels = 0,
+    uint32_t store_age_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> leaving_servers = 0,
+    uint64_t catalog_version = 0) {
   FleetReportBuilder builder_(_fbb);
+  builder_.add_catalog_version(catalog_version);
+  builder_.add_leaving_servers(leaving_servers);
+  builder_.add_store_age_ms(store_age_ms);
   builder_.add_levels(levels);
   builder_.add_member_count(member_count);
   builder_.add_spent(spent);
@@ -4887,15 +4922,22 @@
     flatbuffers::Offset<marigoldquay::protocol::FleetMember> sender = 0,
     const std::vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>> *spent = nullptr,
     uint32_t member_count = 0,
-    const std::vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>> *levels = nullptr) {
+    const std::vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>> *levels = nullptr,
+    uint32_t store_age_ms = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *leaving_servers = nullptr,
+    uint64_t catalog_version = 0) {
   auto spent__ = spent ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>>(*spent) : 0;
   auto levels__ = levels ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>>(*levels) : 0;
+  auto leaving_servers__ = leaving_servers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*leaving_servers) : 0;
   return marigoldquay::protocol::CreateFleetReport(
       _fbb,
       sender,
       spent__,
       member_count,
-      levels__);
+      levels__,
+      store_age_ms,
+      leaving_servers__,
+      catalog_version);
 }
 
 flatbuffers::Offset<FleetReport> CreateFleetReport(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5082,11 +5124,14 @@
   uint32_t member_count = 0;
   std::vector<std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT>> balances{};
   uint32_t interval_ms = 0;
-  bool has_members = false;
+  bool whole_members = false;
   uint64_t catalog_version = 0;
   uint32_t store_age_ms = 0;
   std::vector<std::unique_ptr<marigoldquay::protocol::BackendEntryT>> backend_servers{};
   std::vector<std::string> removed_servers{};
+  bool whole_servers = false;
+  std::vector<std::string> removed_members{};
+  std::vector<uint8_t> catalog{};
   FleetStateT() = default;
   FleetStateT(const FleetStateT &o);
   FleetStateT(FleetStateT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -5106,11 +5151,14 @@
     VT_MEMBER_COUNT = 8,
     VT_BALANCES = 10,
     VT_INTERVAL_MS = 12,
-    VT_HAS_MEMBERS = 14,
+    VT_WHOLE_MEMBERS = 14,
     VT_CATALOG_VERSION = 16,
     VT_STORE_AGE_MS = 18,
     VT_BACKEND_SERVERS = 20,
-    VT_REMOVED_SERVERS = 22
+    VT_REMOVED_SERVERS = 22,
+    VT_WHOLE_SERVERS = 24,
+    VT_REMOVED_MEMBERS = 26,
+    VT_CATALOG = 28
   };
   const marigoldquay::protocol::FleetMember *coordinator() const {
     return GetPointer<const marigoldquay::protocol::FleetMember *>(VT_COORDINATOR);
@@ -5127,8 +5175,8 @@
   uint32_t interval_ms() const {
     return GetField<uint32_t>(VT_INTERVAL_MS, 0);
   }
-  bool has_members() const {
-    return GetField<uint8_t>(VT_HAS_MEMBERS, 0) != 0;
+  bool whole_members() const {
+    return GetField<uint8_t>(VT_WHOLE_MEMBERS, 0) != 0;
   }
   uint64_t catalog_version() const {
     return GetField<uint64_t>(VT_CATALOG_VERSION, 0);
@@ -5142,6 +5190,15 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *removed_servers() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_REMOVED_SERVERS);
   }
+  bool whole_servers() const {
+    return GetField<uint8_t>(VT_WHOLE_SERVERS, 0) != 0;
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *removed_members() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_REMOVED_MEMBERS);
+  }
+  const flatbuffers::Vector<uint8_t> *catalog() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_CATALOG);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_COORDINATOR) &&
@@ -5154,7 +5211,7 @@
            verifier.VerifyVector(balances()) &&
            verifier.VerifyVectorOfTables(balances()) &&
            VerifyField<uint32_t>(verifier, VT_INTERVAL_MS, 4) &&
-           VerifyField<uint8_t>(verifier, VT_HAS_MEMBERS, 1) &&
+           VerifyField<uint8_t>(verifier, VT_WHOLE_MEMBERS, 1) &&
            VerifyField<uint64_t>(verifier, VT_CATALOG_VERSION, 8) &&
            VerifyField<uint32_t>(verifier, VT_STORE_AGE_MS, 4) &&
            VerifyOffset(verifier, VT_BACKEND_SERVERS) &&
@@ -5163,6 +5220,12 @@
            VerifyOffset(verifier, VT_REMOVED_SERVERS) &&
            verifier.VerifyVector(removed_servers()) &&
            verifier.VerifyVectorOfStrings(removed_servers()) &&
+           VerifyField<uint8_t>(verifier, VT_WHOLE_SERVERS, 1) &&
+           VerifyOffset(verifier, VT_REMOVED_MEMBERS) &&
+           verifier.VerifyVector(removed_members()) &&
+           verifier.VerifyVectorOfStrings(removed_members()) &&
+           VerifyOffset(verifier, VT_CATALOG) &&
+           verifier.VerifyVector(catalog()) &&
            verifier.EndTable();
   }
   FleetStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5189,8 +5252,8 @@
   void add_interval_ms(uint32_t interval_ms) {
     fbb_.AddElement<uint32_t>(FleetState::VT_INTERVAL_MS, interval_ms, 0);
   }
-  void add_has_members(bool has_members) {
-    fbb_.AddElement<uint8_t>(FleetState::VT_HAS_MEMBERS, static_cast<uint8_t>(has_members), 0);
+  void add_whole_members(bool whole_members) {
+    fbb_.AddElement<uint8_t>(FleetState::VT_WHOLE_MEMBERS, static_cast<uint8_t>(whole_members), 0);
   }
   void add_catalog_version(uint64_t catalog_version) {
     fbb_.AddElement<uint64_t>(FleetState::VT_CATALOG_VERSION, catalog_version, 0);
@@ -5204,6 +5267,15 @@
   void add_removed_servers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> removed_servers) {
     fbb_.AddOffset(FleetState::VT_REMOVED_SERVERS, removed_servers);
   }
+  void add_whole_servers(bool whole_servers) {
+    fbb_.AddElement<uint8_t>(FleetState::VT_WHOLE_SERVERS, static_cast<uint8_t>(whole_servers), 0);
+  }
+  void add_removed_members(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> removed_members) {
+    fbb_.AddOffset(FleetState::VT_REMOVED_MEMBERS, removed_members);
+  }
+  void add_catalog(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> catalog) {
+    fbb_.AddOffset(FleetState::VT_CATALOG, catalog);
+  }
   explicit FleetStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5223,13 +5295,18 @@
     uint32_t member_count = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>>> balances = 0,
     uint32_t interval_ms = 0,
-    bool has_members = false,
+    bool whole_members = false,
     uint64_t catalog_version = 0,
     uint32_t store_age_ms = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::BackendEntry>>> backend_servers = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> removed_servers = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> removed_servers = 0,
+    bool whole_servers = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> removed_members = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> catalog = 0) {
   FleetStateBuilder builder_(_fbb);
   builder_.add_catalog_version(catalog_version);
+  builder_.add_catalog(catalog);
+  builder_.add_removed_members(removed_members);
   builder_.add_removed_servers(removed_servers);
   builder_.add_backend_servers(backend_servers);
   builder_.add_store_age_ms(store_age_ms);
@@ -5238,7 +5315,8 @@
   builder_.add_member_count(member_count);
   builder_.add_members(members);
   builder_.add_coordinator(coordinator);
-  builder_.add_has_members(has_members);
+  builder_.add_whole_servers(whole_servers);
+  builder_.add_whole_members(whole_members);
   return builder_.Finish();
 }
 
@@ -5254,15 +5332,20 @@
     uint32_t member_count = 0,
     const std::vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>> *balances = nullptr,
     uint32_t interval_ms = 0,
-    bool has_members = false,
+    bool whole_members = false,
     uint64_t catalog_version = 0,
     uint32_t store_age_ms = 0,
     const std::vector<flatbuffers::Offset<marigoldquay::protocol::BackendEntry>> *backend_servers = nullptr,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *removed_servers = nullptr) {
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *removed_servers = nullptr,
+    bool whole_servers = false,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *removed_members = nullptr,
+    const std::vector<uint8_t> *catalog = nullptr) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::FleetMember>>(*members) : 0;
   auto balances__ = balances ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>>(*balances) : 0;
   auto backend_servers__ = backend_servers ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::BackendEntry>>(*backend_servers) : 0;
   auto removed_servers__ = removed_servers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*removed_servers) : 0;
+  auto removed_members__ = removed_members ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*removed_members) : 0;
+  auto catalog__ = catalog ? _fbb.CreateVector<uint8_t>(*catalog) : 0;
   return marigoldquay::protocol::CreateFleetState(
       _fbb,
       coordinator,
@@ -5270,11 +5353,14 @@
       member_count,
       balances__,
       interval_ms,
-      has_members,
+      whole_members,
       catalog_version,
       store_age_ms,
       backend_servers__,
-      removed_servers__);
+      removed_servers__,
+      whole_servers,
+      removed_members__,
+      catalog__);
 }
 
 flatbuffers::Offset<FleetState> CreateFleetState(flatbuffers::FlatBufferBuilder &_fbb, const FleetStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5521,6 +5607,7 @@
   uint32_t expected_ms = 0;
   uint32_t retry_after_ms = 0;
   std::string reason{};
+  bool provisional = false;
 };
 
 struct PlaceStreamReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -5537,7 +5624,8 @@
     VT_DECODE_SERVER = 10,
     VT_EXPECTED_MS = 12,
     VT_RETRY_AFTER_MS = 14,
-    VT_REASON = 16
+    VT_REASON = 16,
+    VT_PROVISIONAL = 18
   };
   marigoldquay::protocol::PlaceStreamStatus status() const {
     return static_cast<marigoldquay::protocol::PlaceStreamStatus>(GetField<uint8_t>(VT_STATUS, 0));
@@ -5560,6 +5648,9 @@
   const flatbuffers::String *reason() const {
     return GetPointer<const flatbuffers::String *>(VT_REASON);
   }
+  bool provisional() const {
+    return GetField<uint8_t>(VT_PROVISIONAL, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_STATUS, 1) &&
@@ -5572,6 +5663,7 @@
            VerifyField<uint32_t>(verifier, VT_RETRY_AFTER_MS, 4) &&
            VerifyOffset(verifier, VT_REASON) &&
            verifier.VerifyString(reason()) &&
+           VerifyField<uint8_t>(verifier, VT_PROVISIONAL, 1) &&
            verifier.EndTable();
   }
   PlaceStreamReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5604,6 +5696,9 @@
   void add_reason(flatbuffers::Offset<flatbuffers::String> reason) {
     fbb_.AddOffset(PlaceStreamReply::VT_REASON, reason);
   }
+  void add_provisional(bool provisional) {
+    fbb_.AddElement<uint8_t>(PlaceStreamReply::VT_PROVISIONAL, static_cast<uint8_t>(provisional), 0);
+  }
   explicit PlaceStreamReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5623,7 +5718,8 @@
     flatbuffers::Offset<flatbuffers::String> decode_server = 0,
     uint32_t expected_ms = 0,
     uint32_t retry_after_ms = 0,
-    flatbuffers::Offset<flatbuffers::String> reason = 0) {
+    flatbuffers::Offset<flatbuffers::String> reason = 0,
+    bool provisional = false) {
   PlaceStreamReplyBuilder builder_(_fbb);
   builder_.add_ticket(ticket);
   builder_.add_reason(reason);
@@ -5631,6 +5727,7 @@
   builder_.add_expected_ms(expected_ms);
   builder_.add_decode_server(decode_server);
   builder_.add_prefill_server(prefill_server);
+  builder_.add_provisional(provisional);
   builder_.add_status(status);
   return builder_.Finish();
 }
@@ -5648,7 +5745,8 @@
     const char *decode_server = nullptr,
     uint32_t expected_ms = 0,
     uint32_t retry_after_ms = 0,
-    const char *reason = nullptr) {
+    const char *reason = nullptr,
+    bool provisional = false) {
   auto prefill_server__ = prefill_server ? _fbb.CreateString(prefill_server) : 0;
   auto decode_server__ = decode_server ? _fbb.CreateString(decode_server) : 0;
   auto reason__ = reason ? _fbb.CreateString(reason) : 0;
@@ -5660,7 +5758,8 @@
       decode_server__,
       expected_ms,
       retry_after_ms,
-      reason__);
+      reason__,
+      provisional);
 }
 
 flatbuffers::Offset<PlaceStreamReply> CreatePlaceStreamReply(flatbuffers::FlatBufferBuilder &_fbb, const PlaceStreamReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -7793,7 +7892,10 @@
       ((lhs.sender == rhs.sender) || (lhs.sender && rhs.sender && *lhs.sender == *rhs.sender)) &&
       (lhs.spent.size() == rhs.spent.size() && std::equal(lhs.spent.cbegin(), lhs.spent.cend(), rhs.spent.cbegin(), [](std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT> const &a, std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
       (lhs.member_count == rhs.member_count) &&
-      (lhs.levels.size() == rhs.levels.size() && std::equal(lhs.levels.cbegin(), lhs.levels.cend(), rhs.levels.cbegin(), [](std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT> const &a, std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT> const &b) { return (a == b) || (a && b && *a == *b); }));
+      (lhs.levels.size() == rhs.levels.size() && std::equal(lhs.levels.cbegin(), lhs.levels.cend(), rhs.levels.cbegin(), [](std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT> const &a, std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
+      (lhs.store_age_ms == rhs.store_age_ms) &&
+      (lhs.leaving_servers == rhs.leaving_servers) &&
+      (lhs.catalog_version == rhs.catalog_version);
 }
 
 inline bool operator!=(const FleetReportT &lhs, const FleetReportT &rhs) {
@@ -7803,7 +7905,10 @@
 
 inline FleetReportT::FleetReportT(const FleetReportT &o)
       : sender((o.sender) ? new marigoldquay::protocol::FleetMemberT(*o.sender) : nullptr),
-        member_count(o.member_count) {
+        member_count(o.member_count),
+        store_age_ms(o.store_age_ms),
+        leaving_servers(o.leaving_servers),
+        catalog_version(o.catalog_version) {
   spent.reserve(o.spent.size());
   for (const auto &spent_ : o.spent) { spent.emplace_back((spent_) ? new marigoldquay::protocol::WorkspaceTokensT(*spent_) : nullptr); }
   levels.reserve(o.levels.size());
@@ -7815,6 +7920,9 @@
   std::swap(spent, o.spent);
   std::swap(member_count, o.member_count);
   std::swap(levels, o.levels);
+  std::swap(store_age_ms, o.store_age_ms);
+  std::swap(leaving_servers, o.leaving_servers);
+  std::swap(catalog_version, o.catalog_version);
   return *this;
 }
 
@@ -7831,6 +7939,9 @@
   { auto _e = spent(); if (_e) { _o->spent.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->spent[_i] = std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = member_count(); _o->member_count = _e; }
   { auto _e = levels(); if (_e) { _o->levels.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->levels[_i] = std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = store_age_ms(); _o->store_age_ms = _e; }
+  { auto _e = leaving_servers(); if (_e) { _o->leaving_servers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->leaving_servers[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = catalog_version(); _o->catalog_version = _e; }
 }
 
 inline flatbuffers::Offset<FleetReport> FleetReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7845,12 +7956,18 @@
   auto _spent = _o->spent.size() ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>> (_o->spent.size(), [](size_t i, _VectorArgs *__va) { return CreateWorkspaceTokens(*__va->__fbb, __va->__o->spent[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _member_count = _o->member_count;
   auto _levels = _o->levels.size() ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>> (_o->levels.size(), [](size_t i, _VectorArgs *__va) { return CreateWorkspaceTokens(*__va->__fbb, __va->__o->levels[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _store_age_ms = _o->store_age_ms;
+  auto _leaving_servers = _o->leaving_servers.size() ? _fbb.CreateVectorOfStrings(_o->leaving_servers) : 0;
+  auto _catalog_version = _o->catalog_version;
   return marigoldquay::protocol::CreateFleetReport(
       _fbb,
       _sender,
       _spent,
       _member_count,
-      _levels);
+      _levels,
+      _store_age_ms,
+      _leaving_servers,
+      _catalog_version);
 }
 
 
@@ -7926,11 +8043,14 @@
       (lhs.member_count == rhs.member_count) &&
       (lhs.balances.size() == rhs.balances.size() && std::equal(lhs.balances.cbegin(), lhs.balances.cend(), rhs.balances.cbegin(), [](std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT> const &a, std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
       (lhs.interval_ms == rhs.interval_ms) &&
-      (lhs.has_members == rhs.has_members) &&
+      (lhs.whole_members == rhs.whole_members) &&
       (lhs.catalog_version == rhs.catalog_version) &&
       (lhs.store_age_ms == rhs.store_age_ms) &&
       (lhs.backend_servers.size() == rhs.backend_servers.size() && std::equal(lhs.backend_servers.cbegin(), lhs.backend_servers.cend(), rhs.backend_servers.cbegin(), [](std::unique_ptr<marigoldquay::protocol::BackendEntryT> const &a, std::unique_ptr<marigoldquay::protocol::BackendEntryT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
-      (lhs.removed_servers == rhs.removed_servers);
+      (lhs.removed_servers == rhs.removed_servers) &&
+      (lhs.whole_servers == rhs.whole_servers) &&
+      (lhs.removed_members == rhs.removed_members) &&
+      (lhs.catalog == rhs.catalog);
 }
 
 inline bool operator!=(const FleetStateT &lhs, const FleetStateT &rhs) {
@@ -7942,10 +8062,13 @@
       : coordinator((o.coordinator) ? new marigoldquay::protocol::FleetMemberT(*o.coordinator) : nullptr),
         member_count(o.member_count),
         interval_ms(o.interval_ms),
-        has_members(o.has_members),
+        whole_members(o.whole_members),
         catalog_version(o.catalog_version),
         store_age_ms(o.store_age_ms),
-        removed_servers(o.removed_servers) {
+        removed_servers(o.removed_servers),
+        whole_servers(o.whole_servers),
+        removed_members(o.removed_members),
+        catalog(o.catalog) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new marigoldquay::protocol::FleetMemberT(*members_) : nullptr); }
   balances.reserve(o.balances.size());
@@ -7960,11 +8083,14 @@
   std::swap(member_count, o.member_count);
   std::swap(balances, o.balances);
   std::swap(interval_ms, o.interval_ms);
-  std::swap(has_members, o.has_members);
+  std::swap(whole_members, o.whole_members);
   std::swap(catalog_version, o.catalog_version);
   std::swap(store_age_ms, o.store_age_ms);
   std::swap(backend_servers, o.backend_servers);
   std::swap(removed_servers, o.removed_servers);
+  std::swap(whole_servers, o.whole_servers);
+  std::swap(removed_members, o.removed_members);
+  std::swap(catalog, o.catalog);
   return *this;
 }
 
@@ -7982,11 +8108,14 @@
   { auto _e = member_count(); _o->member_count = _e; }
   { auto _e = balances(); if (_e) { _o->balances.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->balances[_i] = std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = interval_ms(); _o->interval_ms = _e; }
-  { auto _e = has_members(); _o->has_members = _e; }
+  { auto _e = whole_members(); _o->whole_members = _e; }
   { auto _e = catalog_version(); _o->catalog_version = _e; }
   { auto _e = store_age_ms(); _o->store_age_ms = _e; }
   { auto _e = backend_servers(); if (_e) { _o->backend_servers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->backend_servers[_i] = std::unique_ptr<marigoldquay::protocol::BackendEntryT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = removed_servers(); if (_e) { _o->removed_servers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->removed_servers[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = whole_servers(); _o->whole_servers = _e; }
+  { auto _e = removed_members(); if (_e) { _o->removed_members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->removed_members[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = catalog(); if (_e) { _o->catalog.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->catalog.begin()); } }
 }
 
 inline flatbuffers::Offset<FleetState> FleetState::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FleetStateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8002,11 +8131,14 @@
   auto _member_count = _o->member_count;
   auto _balances = _o->balances.size() ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>> (_o->balances.size(), [](size_t i, _VectorArgs *__va) { return CreateWorkspaceTokens(*__va->__fbb, __va->__o->balances[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _interval_ms = _o->interval_ms;
-  auto _has_members = _o->has_members;
+  auto _whole_members = _o->whole_members;
   auto _catalog_version = _o->catalog_version;
   auto _store_age_ms = _o->store_age_ms;
   auto _backend_servers = _o->backend_servers.size() ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::BackendEntry>> (_o->backend_servers.size(), [](size_t i, _VectorArgs *__va) { return CreateBackendEntry(*__va->__fbb, __va->__o->backend_servers[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _removed_servers = _o->removed_servers.size() ? _fbb.CreateVectorOfStrings(_o->removed_servers) : 0;
+  auto _whole_servers = _o->whole_servers;
+  auto _removed_members = _o->removed_members.size() ? _fbb.CreateVectorOfStrings(_o->removed_members) : 0;
+  auto _catalog = _o->catalog.size() ? _fbb.CreateVector(_o->catalog) : 0;
   return marigoldquay::protocol::CreateFleetState(
       _fbb,
       _coordinator,
@@ -8014,11 +8146,14 @@
       _member_count,
       _balances,
       _interval_ms,
-      _has_members,
+      _whole_members,
       _catalog_version,
       _store_age_ms,
       _backend_servers,
-      _removed_servers);
+      _removed_servers,
+      _whole_servers,
+      _removed_members,
+      _catalog);
 }
 
 
@@ -8111,7 +8246,8 @@
       (lhs.decode_server == rhs.decode_server) &&
       (lhs.expected_ms == rhs.expected_ms) &&
       (lhs.retry_after_ms == rhs.retry_after_ms) &&
-      (lhs.reason == rhs.reason);
+      (lhs.reason == rhs.reason) &&
+      (lhs.provisional == rhs.provisional);
 }
 
 inline bool operator!=(const PlaceStreamReplyT &lhs, const PlaceStreamReplyT &rhs) {
@@ -8135,6 +8271,7 @@
   { auto _e = expected_ms(); _o->expected_ms = _e; }
   { auto _e = retry_after_ms(); _o->retry_after_ms = _e; }
   { auto _e = reason(); if (_e) _o->reason = _e->str(); }
+  { auto _e = provisional(); _o->provisional = _e; }
 }
 
 inline flatbuffers::Offset<PlaceStreamReply> PlaceStreamReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceStreamReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8152,6 +8289,7 @@
   auto _expected_ms = _o->expected_ms;
   auto _retry_after_ms = _o->retry_after_ms;
   auto _reason = _o->reason.empty() ? 0 : _fbb.CreateString(_o->reason);
+  auto _provisional = _o->provisional;
   return marigoldquay::protocol::CreatePlaceStreamReply(
       _fbb,
       _status,
@@ -8160,7 +8298,8 @@
       _decode_server,
       _expected_ms,
       _retry_after_ms,
-      _reason);
+      _reason,
+      _provisional);
 }
 
 
--- a/packages/relay/include/marigoldquay/relay/backend_dialect.h
+++ b/packages/relay/include/marigoldquay/relay/backend_dialect.h
@@ -69,6 +69,10 @@
   /// Whether something on the way has encoded the body.
   bool encoded = false;
   std::optional<ReplicaLoad> load;
+  /// Whether the server is about to leave and is to get no more requests.
+  bool leaving = false;
+  /// Set when the server turned the request away and wants none for so long.
+  std::optional<absl::Duration> retry_after;
   /// How long the server keeps the idle connection; infinite when it does not say.
   absl::Duration keep_alive = absl::InfiniteDuration();
 
--- a/packages/relay/include/marigoldquay/relay/front_handler.h
+++ b/packages/relay/include/marigoldquay/relay/front_handler.h
@@ -52,6 +52,8 @@
   QuotaGate& quota;
   /// VMs that share the connections which a backend server accepts.
   std::function<std::size_t()> member_count;
+  /// A backend server has said that it is leaving.
+  std::function<void(const BackendServerId&)> on_leaving_server;
 };
 
 /// Handler of the callers' address.
--- a/packages/relay/include/marigoldquay/relay/stream_placer.h
+++ b/packages/relay/include/marigoldquay/relay/stream_placer.h
@@ -43,6 +43,8 @@
   bool over_quota = false;
   absl::Duration retry_after;
   std::string reason;
+  /// Whether that may change within a moment; see QuotaDecision.
+  bool provisional = false;
 };
 
 using PlacementOutcome = std::variant<StreamPlacement, PlacementRefusal>;
--- a/packages/relay/src/backend_attempt.cc
+++ b/packages/relay/src/backend_attempt.cc
@@ -12,6 +12,8 @@
 // tried soon.
 constexpr absl::Duration kConnectTimeout = absl::Milliseconds(120);
 constexpr int kConnectTries = 2;
+// A server in trouble may send interim heads without end.
+constexpr int kMaxInterimHeads = 8;
 
 bool IsSuccess(unsigned status) { return status >= 200 && status < 300; }
 
@@ -52,13 +54,15 @@
 }
 
 ErrorOrVoid BackendAttempt::ReadFinalHead(absl::Duration timeout, Yield yield) {
-  while (true) {
+  for (int heads = 0; heads <= kMaxInterimHeads; ++heads) {
     parser_.emplace();
     if (state_.request.method() == http::verb::head) parser_->skip(true);
     auto read = connection_->ReadHead(*parser_, timeout, yield);
     const bool interim = read && status() >= 100 && status() < 200;
     if (!interim) return read;
   }
+  return Error{ErrorCode::kProtocol, "read answer head", replica_.address,
+               "too many interim answers"};
 }
 
 AttemptEnd BackendAttempt::Open(const BackendCall& call, const AttemptOptions& options,
@@ -87,6 +91,7 @@
 
 AttemptEnd BackendAttempt::CheckHead() {
   answer_ = state_.context.dialect.DecodeAnswer(status(), fields());
+  RecordServerState(state_, replica_.id, answer_);
   if (answer_.load) {
     state_.context.balancer.OnLoad(replica_.id, *answer_.load, state_.Now());
   }
--- a/packages/relay/src/model_relay.cc
+++ b/packages/relay/src/model_relay.cc
@@ -61,7 +61,9 @@
   void Run(Yield yield) {
     StreamPlacementRequest request = MakeRequest();
     for (int i = 0; i < kMaxPlacements; ++i) {
-      request.demand.excluded = excluded_;
+      request.demand.excluded = state_.context.health.Refusing(state_.Now());
+      request.demand.excluded.insert(request.demand.excluded.end(), excluded_.begin(),
+                                     excluded_.end());
       const auto outcome = state_.context.placer.Place(request, state_.cancellation, yield);
       if (state_.cancellation.cancelled()) {
         AbandonPlacement(outcome);
@@ -201,6 +203,7 @@
     if (!reply) return reply.error();
     if (connection->open()) pool.Put(std::move(connection), state_.MaxIdleConnections());
     const auto answer = state_.context.dialect.DecodeAnswer(reply->status, reply->fields);
+    RecordServerState(state_, engine.id, answer);
     if (!answer.request_id.empty() && answer.request_id != state_.caller.id) {
       return Error{ErrorCode::kProtocol, "read prompt", engine.address,
                    "answer to another request"};
--- a/packages/relay/src/plain_relay.cc
+++ b/packages/relay/src/plain_relay.cc
@@ -163,13 +163,24 @@
       return;
     }
     const bool none_tried = excluded_.empty();
-    const absl::Duration wait = none_tried ? kNoServerRetryAfter : kOverloadRetryAfter;
+    const absl::Duration usual = none_tried ? kNoServerRetryAfter : kOverloadRetryAfter;
+    const absl::Duration wait = std::max(usual, TimeUntilServersTakeRequests());
     SendError(state_, kUnavailable,
               none_tried ? std::string("no backend server")
                          : "no backend server took the request: " + last_detail_,
               wait, yield);
   }
 
+  // Zero when a server may be asked now.
+  absl::Duration TimeUntilServersTakeRequests() const {
+    absl::Time soonest = absl::InfiniteFuture();
+    for (const Replica& replica : state_.context.cluster.replicas().Ready(state_.service->name)) {
+      soonest = std::min(soonest, state_.context.health.refused_until(replica.id));
+    }
+    if (soonest == absl::InfiniteFuture()) return absl::ZeroDuration();
+    return std::max(soonest - state_.Now(), absl::ZeroDuration());
+  }
+
   RequestState& state_;
   WindowedRetryBudget& budget_;
   const bool idempotent_;
--- a/packages/relay/src/request_state.cc
+++ b/packages/relay/src/request_state.cc
@@ -54,6 +54,18 @@
   if (!sent) state.outcome = absl::StrCat(reason, "; ", sent.error().message);
 }
 
+void RecordServerState(const RequestState& state, const BackendServerId& server,
+                       const BackendAnswer& answer) {
+  if (answer.leaving) state.context.on_leaving_server(server);
+  if (!answer.retry_after) return;
+  state.context.health.RecordRetryAfter(server, state.Now() + *answer.retry_after);
+  LogFields fields;
+  fields.Add("request_id", state.caller.id)
+      .Add("backend_server", server)
+      .Add("retry_after_ms", *answer.retry_after);
+  RelayLog().Event("backend_server_refuses", fields);
+}
+
 void EndCancelled(RequestState& state, Yield yield) {
   if (state.cancellation.cause() == CancelCause::kCallerLeft) {
     state.outcome = "caller left";
--- a/packages/relay/src/request_state.h
+++ b/packages/relay/src/request_state.h
@@ -50,6 +50,10 @@
 void SendError(RequestState& state, unsigned status, absl::string_view reason,
                absl::Duration retry_after, Yield yield);
 
+/// Keeps what an answer says of the state of its server, whatever became of the request.
+void RecordServerState(const RequestState& state, const BackendServerId& server,
+                       const BackendAnswer& answer);
+
 /// Relays a request of a plain service, or of a stream that needs no prefill.
 void RelayPlain(RequestState& state, Yield yield);
 
--- a/packages/routing/include/marigoldquay/routing/cluster_view.h
+++ b/packages/routing/include/marigoldquay/routing/cluster_view.h
@@ -4,6 +4,7 @@
 #define MARIGOLDQUAY_ROUTING_CLUSTER_VIEW_H_
 
 #include <memory>
+#include <string>
 #include <utility>
 
 #include "marigoldquay/routing/catalog.h"
@@ -21,18 +22,23 @@
   CatalogPtr catalog() const { return catalog_; }
 
   /// Puts a newer version in force; returns false for a version that is not newer, so that the
-  /// configuration of a process never goes back.
-  bool Apply(CatalogContents contents) {
+  /// configuration of a process never goes back. `record` is its stored form, for other VMs.
+  bool Apply(CatalogContents contents, std::string record = "") {
     if (catalog_ && contents.version <= catalog_->version()) return false;
     catalog_ = std::make_shared<const Catalog>(std::move(contents));
+    catalog_record_ = std::move(record);
     return true;
   }
 
+  /// Stored form of the configuration in force; empty when it is unknown.
+  const std::string& catalog_record() const { return catalog_record_; }
+
   ReplicaTable& replicas() { return replicas_; }
   const ReplicaTable& replicas() const { return replicas_; }
 
  private:
   CatalogPtr catalog_;
+  std::string catalog_record_;
   ReplicaTable replicas_;
 };
 
--- a/packages/routing/include/marigoldquay/routing/replica_table.h
+++ b/packages/routing/include/marigoldquay/routing/replica_table.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "marigoldquay/core/types.h"
@@ -48,8 +49,11 @@
 /// thread-safe.
 class ReplicaTable {
  public:
-  /// Adds or changes an entry; returns whether anything that matters has changed.
+  /// Adds or changes an entry; returns whether anything that matters has changed. A start that was
+  /// seen draining stays so, whatever an older source says later.
   bool Set(Replica replica);
+  /// The server itself has said that it is leaving; returns whether that is news.
+  bool MarkDraining(absl::string_view id);
   /// Removes an entry; returns whether it was there.
   bool Remove(absl::string_view id);
 
@@ -74,6 +78,8 @@
   void Erase(std::map<BackendServerId, Replica, std::less<>>::iterator entry);
 
   std::map<BackendServerId, Replica, std::less<>> replicas_;
+  // The only entry of each address.
+  absl::flat_hash_map<Address, BackendServerId> by_address_;
   // Version at which each entry last changed.
   std::map<BackendServerId, std::uint64_t, std::less<>> changed_;
   // The latest removals, oldest first.
--- a/packages/routing/src/replica_table.cc
+++ b/packages/routing/src/replica_table.cc
@@ -13,20 +13,31 @@
 
 bool ReplicaTable::Set(Replica replica) {
   // An address belongs to its latest start; the entry of an earlier one has not lapsed yet.
-  for (auto other = replicas_.begin(); other != replicas_.end();) {
-    const bool same_address = other->second.address == replica.address;
-    if (!same_address || other->first == replica.id) {
-      ++other;
-    } else if (other->second.started_unix_ms > replica.started_unix_ms) {
-      return false;
-    } else {
-      Erase(other++);
-    }
+  const auto owner = by_address_.find(replica.address);
+  if (owner != by_address_.end() && owner->second != replica.id) {
+    const auto other = replicas_.find(owner->second);
+    if (other->second.started_unix_ms > replica.started_unix_ms) return false;
+    Erase(other);
   }
-  auto& entry = replicas_[replica.id];
-  if (entry == replica) return false;
-  entry = std::move(replica);
-  changed_[entry.id] = ++version_;
+  const auto found = replicas_.find(replica.id);
+  if (found != replicas_.end()) {
+    const Replica& known = found->second;
+    const bool same_start = known.started_unix_ms == replica.started_unix_ms;
+    replica.draining = replica.draining || (same_start && known.draining);
+    if (known == replica) return false;
+    if (known.address != replica.address) by_address_.erase(known.address);
+  }
+  by_address_[replica.address] = replica.id;
+  changed_[replica.id] = ++version_;
+  replicas_.insert_or_assign(replica.id, replica);
+  return true;
+}
+
+bool ReplicaTable::MarkDraining(absl::string_view id) {
+  const auto found = replicas_.find(id);
+  if (found == replicas_.end() || found->second.draining) return false;
+  found->second.draining = true;
+  changed_[found->first] = ++version_;
   return true;
 }
 
@@ -34,6 +45,7 @@
   removals_.push_back({++version_, entry->first});
   if (removals_.size() > kMaxRemovals) removals_.pop_front();
   changed_.erase(entry->first);
+  by_address_.erase(entry->second.address);
   replicas_.erase(entry);
 }
 
--- a/packages/routing/tests/cluster_view_test.cc
+++ b/packages/routing/tests/cluster_view_test.cc
@@ -56,6 +56,49 @@
   BOOST_TEST(table.Ready("s").empty());
 }
 
+// Guards against an older source, e.g. a coordinator that has just taken over, that makes a server
+// in use again after this VM has learnt that it is leaving.
+BOOST_AUTO_TEST_CASE(start_that_was_draining_stays_so) {
+  ReplicaTable table;
+  table.Set(MakeReplica("a", true));
+  BOOST_TEST(!table.Set(MakeReplica("a", false)));
+  BOOST_TEST(table.Ready("s").empty());
+  auto restarted = MakeReplica("a", false);
+  restarted.started_unix_ms = 7;
+  BOOST_TEST(table.Set(restarted));
+  BOOST_TEST(table.Ready("s").size() == 1);
+}
+
+// Guards against work for a server that says in its answers that it is leaving, while the list
+// still calls it ready.
+BOOST_AUTO_TEST_CASE(leaving_server_is_not_ready_and_told_to_others) {
+  ReplicaTable table;
+  table.Set(MakeReplica("a", false));
+  const auto before = table.version();
+  BOOST_TEST(table.MarkDraining("a"));
+  BOOST_TEST(!table.MarkDraining("a"));
+  BOOST_TEST(!table.MarkDraining("unknown"));
+  BOOST_TEST(!table.Set(MakeReplica("a", false)));
+  BOOST_TEST(table.Ready("s").empty());
+  const auto changes = table.ChangesSince(before);
+  BOOST_TEST_REQUIRE(changes.listed.size() == 1);
+  BOOST_TEST(changes.listed[0].draining);
+}
+
+// Guards against an address that stays taken after its server has moved or gone.
+BOOST_AUTO_TEST_CASE(address_is_free_after_a_move) {
+  ReplicaTable table;
+  auto moved = MakeReplica("a", false);
+  moved.started_unix_ms = 9;
+  table.Set(moved);
+  moved.address = "10.0.0.2:80";
+  BOOST_TEST(table.Set(moved));
+  auto other = MakeReplica("b", false);
+  other.address = "10.0.0.1:a";
+  BOOST_TEST(table.Set(other));
+  BOOST_TEST(table.Ready("s").size() == 2);
+}
+
 // Guards against requests to a crashed server whose address a new start has taken over.
 BOOST_AUTO_TEST_CASE(later_start_takes_over_the_address) {
   ReplicaTable table;
--- a/tests/platform/fake_replica.cc
+++ b/tests/platform/fake_replica.cc
@@ -61,6 +61,7 @@
   fields.set("Attempt-Id", behavior == ReplicaBehavior::kWrongId ? "another" : id);
   if (behavior != ReplicaBehavior::kUnsealed) fields.set("Response-Seal", "seal-" + options_.id);
   fields.set("Instance-Load", "1,0,8");
+  if (behavior == ReplicaBehavior::kLeaving) fields.set("Server-Leaving", "1");
   return fields;
 }
 
@@ -123,6 +124,15 @@
     (void)reply.Append(PlainBody(id), yield);
     return reply.Abort();
   }
+  if (behavior == ReplicaBehavior::kEndlessBody) {
+    (void)reply.Begin(status, fields, std::nullopt, yield);
+    const std::string piece(std::size_t{16} * 1024, 'x');
+    while (!cancellation.cancelled() && reply.Append(piece, yield)) {
+      Pause(io_, absl::Milliseconds(5), cancellation, yield);
+    }
+    ledger_.runs[run].cancelled = absl::Now();
+    return reply.Abort();
+  }
   (void)reply.SendWhole(status, fields, PlainBody(id), yield);
   if (behavior == ReplicaBehavior::kExtraAnswer) {
     (void)reply.SendWhole(status, fields, PlainBody(id), yield);
@@ -174,8 +184,10 @@
   }
   if (prefill) return Prefill(id, reply, yield);
   const ReplicaBehavior behavior = options_.behavior();
-  if (behavior == ReplicaBehavior::kShed) {
+  if (behavior == ReplicaBehavior::kShed || behavior == ReplicaBehavior::kWantsPause) {
+    ledger_.rejections.push_back(absl::Now());
     not_run.set("Not-Executed", "1");
+    if (behavior == ReplicaBehavior::kWantsPause) not_run.set("Retry-After", "2");
     (void)reply.SendWhole(503, not_run, "", yield);
     return;
   }
--- a/tests/platform/fake_replica.h
+++ b/tests/platform/fake_replica.h
@@ -33,6 +33,12 @@
   kUnsealed,
   /// Sends a second answer behind the first.
   kExtraAnswer,
+  /// Answers, and says that it is leaving.
+  kLeaving,
+  /// Rejects without running and asks for a pause of 2 s.
+  kWantsPause,
+  /// Sends a body of several MB per second without end.
+  kEndlessBody,
 };
 
 /// One request that a replica has run.
@@ -66,6 +72,8 @@
   std::vector<ReplicaOrder> orders;
   /// KV caches that were neither fetched nor freed, with the time at which they were made.
   std::map<std::string, absl::Time> waiting_caches;
+  /// When a server turned a request away.
+  std::vector<absl::Time> rejections;
   std::vector<std::string> violations;
 };
 
