Ask the best engines for room first, and keep what was refused

Ruled out: the hand-over, which came later.

Engines keep their streams; room is asked in the order of cost; a demand that found none is remembered for 20 ms; one log line names the chosen engines only.

--- a/packages/dispatch/include/marigoldquay/dispatch/stream_scheduler.h
+++ b/packages/dispatch/include/marigoldquay/dispatch/stream_scheduler.h
@@ -8,7 +8,9 @@
 #ifndef MARIGOLDQUAY_DISPATCH_STREAM_SCHEDULER_H_
 #define MARIGOLDQUAY_DISPATCH_STREAM_SCHEDULER_H_
 
+#include <array>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <span>
@@ -115,10 +117,15 @@
   std::size_t running() const { return placed_.size(); }
   /// Tokens reserved at an engine; 0 for unknown ones.
   TokenCount reserved_tokens(absl::string_view engine) const;
-  /// "id role running/reserved" of every engine, for the log.
-  std::string Describe(absl::Time now) const;
+  /// Load of the engines that a decision names, and how many demands run and wait, for the log.
+  std::string Describe(const StreamDecision& decision, absl::Time now) const;
 
  private:
+  struct Refused {
+    TokenCount prompt_tokens = 0;
+    TokenCount output_tokens = 0;
+    absl::Time at = absl::InfinitePast();
+  };
   struct Engine {
     Replica replica;
     // Time that the engine needs to read one prompt token, in ms.
@@ -130,6 +137,10 @@
     // Tokens that its streams have when all are complete.
     TokenCount reserved = 0;
     int running = 0;
+    // Tickets of these streams.
+    std::vector<std::uint64_t> streams;
+    // The smallest demand that has lately found no room, by urgency.
+    std::array<Refused, 2> refused;
     int failures = 0;
     absl::Time suspended_until = absl::InfinitePast();
     // When a stream last began or ended well there.
@@ -148,12 +159,23 @@
     bool started = false;
   };
   struct Candidate {
+    // Null when the decode engine is to read the prompt itself.
     Engine* prefill = nullptr;
     Engine* decode = nullptr;
-    absl::Time read_by;
-    absl::Time first_event;
+    // Time until the prompt is read, in ms.
+    double read_ms = 0;
     double cost_ms = 0;
   };
+  // A prefill engine and the time until it would have read the prompt, in ms.
+  struct Reader {
+    Engine* engine = nullptr;
+    double read_ms = 0;
+  };
+  // What no engine can beat: the first to be free for a prompt, and the fastest.
+  struct Outlook {
+    absl::Time soonest = absl::InfiniteFuture();
+    double ms_per_token = std::numeric_limits<double>::infinity();
+  };
   using Engines = std::map<BackendServerId, Engine, std::less<>>;
 
   // Headroom differs: waiting demands leave memory to those that can be on time.
@@ -163,14 +185,24 @@
   // Whether several streams have waited for long without any sign of life from their engine.
   bool IsSilent(const Engine& decode, absl::Time now) const;
   bool Usable(const Engine& engine, const StreamDemand& demand, absl::Time now) const;
-  bool HasRoom(const Engine& decode, const StreamDemand& demand, Urgency urgency,
-               absl::Time now) const;
+  bool HasRoom(Engine& decode, const StreamDemand& demand, Urgency urgency, absl::Time now) const;
   // Most tokens that the engine will hold at any time from now on if it takes the demand.
   double PeakTokens(const Engine& decode, const StreamDemand& demand, absl::Time now) const;
-  absl::Duration DecodeTime(const Engine& decode, const StreamDemand& demand) const;
-  Candidate ReadApart(Engine& prefill, Engine& decode, const StreamDemand& demand,
-                      absl::Time now) const;
-  Candidate ReadAtDecode(Engine& decode, const StreamDemand& demand, absl::Time now) const;
+  // Time until the engine would have read the prompt, in ms; `factor` is 1 for prefill engines.
+  double ReadMs(const Engine& engine, double factor, const StreamDemand& demand,
+                absl::Time now) const;
+  // The prefill engine of each availability zone that would have read the prompt first.
+  std::vector<Reader> SoonestReaders(const StreamDemand& demand, Urgency urgency, absl::Time now);
+  // The cheapest way to read the prompt for the decode engine.
+  std::optional<Candidate> BestReader(Engine& decode, const std::vector<Reader>& readers,
+                                      const StreamDemand& demand, Urgency urgency,
+                                      absl::Time now) const;
+  // Whether some decode engine has room, whoever reads the prompt.
+  bool AnyRoom(const StreamDemand& demand, absl::Time now);
+  Outlook LookAhead() const;
+  bool MayStart(const Outlook& outlook, const StreamDemand& demand, absl::Time now) const;
+  // Waiting tickets by priority, then by arrival.
+  std::vector<std::uint64_t> WaitingOrder() const;
   std::optional<Candidate> Best(const StreamDemand& demand, Urgency urgency, absl::Time now);
   StreamDecision Grant(std::uint64_t ticket, const StreamDemand& demand, const Candidate& candidate,
                        absl::Time now);
--- a/packages/dispatch/src/replica_balancer.cc
+++ b/packages/dispatch/src/replica_balancer.cc
@@ -70,6 +70,7 @@
   double best_cost = std::numeric_limits<double>::infinity();
   for (const Replica& replica : ready) {
     if (std::find(excluded.begin(), excluded.end(), replica.id) != excluded.end()) continue;
+    if (now < health_.refused_until(replica.id)) continue;
     double cost = ExpectedMs(replica, typical_ms, now);
     if (!health_.Available(replica.id, now)) cost += kSuspendedMs;
     if (proven_only && !health_.Proven(replica.id)) cost += kUnprovenMs;
--- a/packages/dispatch/src/replica_health.cc
+++ b/packages/dispatch/src/replica_health.cc
@@ -40,6 +40,24 @@
 
 void ReplicaHealth::RecordGone(absl::string_view id) { states_[std::string(id)].gone = true; }
 
+void ReplicaHealth::RecordRetryAfter(absl::string_view id, absl::Time until) {
+  State& state = states_[std::string(id)];
+  state.refused_until = std::max(state.refused_until, until);
+}
+
+absl::Time ReplicaHealth::refused_until(absl::string_view id) const {
+  const State* state = Find(id);
+  return state == nullptr ? absl::InfinitePast() : state->refused_until;
+}
+
+std::vector<BackendServerId> ReplicaHealth::Refusing(absl::Time now) const {
+  std::vector<BackendServerId> refusing;
+  for (const auto& [id, state] : states_) {
+    if (now < state.refused_until) refusing.push_back(id);
+  }
+  return refusing;
+}
+
 bool ReplicaHealth::Available(absl::string_view id, absl::Time now) const {
   const State* state = Find(id);
   return state == nullptr || (!state->gone && now >= state->suspended_until);
--- a/packages/dispatch/src/stream_scheduler.cc
+++ b/packages/dispatch/src/stream_scheduler.cc
@@ -29,31 +29,35 @@
 constexpr absl::Duration kGiveUpMargin = absl::Milliseconds(300);
 constexpr absl::Duration kMinRetryAfter = absl::Milliseconds(300);
 constexpr std::size_t kMaxWaiting = 400;
+// A demand without room at an engine finds none there until a stream ends or some time has passed.
+constexpr absl::Duration kRefusalMemory = absl::Milliseconds(20);
 
 absl::Duration Milliseconds(double ms) { return absl::Milliseconds(ms); }
 
 }  // namespace
 
-absl::Duration StreamScheduler::DecodeTime(const Engine& decode, const StreamDemand& demand) const {
-  return Milliseconds(decode.decode_ms_per_token * static_cast<double>(demand.output_tokens));
-}
-
 double StreamScheduler::PeakTokens(const Engine& decode, const StreamDemand& demand,
                                    absl::Time now) const {
+  // Times in ms from now.
   struct Stream {
-    const StreamDemand* demand;
-    absl::Time first_event;
-    absl::Time end;
+    double prompt = 0;
+    double output = 0;
+    double first_event = 0;
+    double end = 0;
+  };
+  const double soon = absl::ToDoubleMilliseconds(kFirstStep);
+  const auto make = [&](const StreamDemand& of, double first_event) {
+    const double length = decode.decode_ms_per_token * static_cast<double>(of.output_tokens);
+    return Stream{static_cast<double>(of.prompt_tokens), static_cast<double>(of.output_tokens),
+                  first_event, std::max(first_event + length, soon)};
   };
   std::vector<Stream> streams;
-  const absl::Time soon = now + kFirstStep;
-  streams.push_back({&demand, soon, soon + DecodeTime(decode, demand)});
-  for (const auto& [ticket, placed] : placed_) {
-    if (placed.decode != decode.replica.id) continue;
-    const absl::Time first =
-        placed.started ? placed.first_event : std::max(soon, placed.first_event);
-    const absl::Time end = std::max(first + DecodeTime(decode, placed.demand), soon);
-    streams.push_back({&placed.demand, first, end});
+  streams.reserve(decode.streams.size() + 1);
+  streams.push_back(make(demand, soon));
+  for (const std::uint64_t ticket : decode.streams) {
+    const Placed& placed = placed_.at(ticket);
+    const double first = absl::ToDoubleMilliseconds(placed.first_event - now);
+    streams.push_back(make(placed.demand, placed.started ? first : std::max(soon, first)));
   }
   // Memory only grows between two ends, so it peaks just before one of them.
   double peak = 0;
@@ -61,18 +65,16 @@
     double tokens = 0;
     for (const Stream& stream : streams) {
       if (stream.end < at.end) continue;
-      const absl::Duration length = std::max(stream.end - stream.first_event, kFirstStep);
-      const double done =
-          std::clamp(absl::FDivDuration(at.end - stream.first_event, length), 0.0, 1.0);
-      tokens += static_cast<double>(stream.demand->prompt_tokens) +
-                done * static_cast<double>(stream.demand->output_tokens);
+      const double length = std::max(stream.end - stream.first_event, soon);
+      const double done = std::clamp((at.end - stream.first_event) / length, 0.0, 1.0);
+      tokens += stream.prompt + done * stream.output;
     }
     peak = std::max(peak, tokens);
   }
   return peak;
 }
 
-bool StreamScheduler::HasRoom(const Engine& decode, const StreamDemand& demand, Urgency urgency,
+bool StreamScheduler::HasRoom(Engine& decode, const StreamDemand& demand, Urgency urgency,
                               absl::Time now) const {
   const double fill = (urgency == Urgency::kOnTime ? kOnTimeFill : kLateFill) * options_.share;
   const double slots = fill * std::max(decode.replica.slots, 1);
@@ -80,87 +82,140 @@
   // An empty engine takes any demand that fits it as a whole.
   if (decode.running == 0) return Footprint(demand) <= profile_.kv_capacity;
   if (decode.running + 1 > slots) return false;
-  return PeakTokens(decode, demand, now) <= memory;
+  auto& refused = decode.refused[static_cast<std::size_t>(urgency)];
+  const bool as_large = demand.prompt_tokens >= refused.prompt_tokens &&
+                        demand.output_tokens >= refused.output_tokens;
+  if (as_large && now - refused.at < kRefusalMemory) return false;
+  if (PeakTokens(decode, demand, now) <= memory) return true;
+  refused = {demand.prompt_tokens, demand.output_tokens, now};
+  return false;
 }
 
-StreamScheduler::Candidate StreamScheduler::ReadApart(Engine& prefill, Engine& decode,
-                                                      const StreamDemand& demand,
-                                                      absl::Time now) const {
-  Candidate candidate{&prefill, &decode, {}, {}, 0};
-  const absl::Time start = std::max(now, prefill.read_until);
-  const double read_ms =
-      prefill.read_ms_per_token * static_cast<double>(demand.prompt_tokens) / options_.share;
-  candidate.read_by = start + Milliseconds(read_ms);
-  candidate.first_event = candidate.read_by + kFirstStep;
-  candidate.cost_ms = absl::ToDoubleMilliseconds(candidate.first_event - now);
-  candidate.cost_ms += kRunningMs * decode.running;
-  if (prefill.replica.availability_zone != decode.replica.availability_zone) {
-    candidate.cost_ms += kOtherZoneMs;
+double StreamScheduler::ReadMs(const Engine& engine, double factor, const StreamDemand& demand,
+                               absl::Time now) const {
+  const double backlog_ms = absl::ToDoubleMilliseconds(engine.read_until - now);
+  const double read_ms = factor * engine.read_ms_per_token *
+                         static_cast<double>(demand.prompt_tokens) / options_.share;
+  return std::max(backlog_ms, 0.0) + read_ms;
+}
+
+std::vector<StreamScheduler::Reader> StreamScheduler::SoonestReaders(const StreamDemand& demand,
+                                                                     Urgency urgency,
+                                                                     absl::Time now) {
+  std::vector<Reader> readers;
+  for (auto& [id, engine] : engines_) {
+    if (engine.replica.role != EngineRole::kPrefill || !Usable(engine, demand, now)) continue;
+    if (urgency == Urgency::kLate && engine.read_until > now + kLateBacklog) continue;
+    const double read_ms = ReadMs(engine, 1.0, demand, now);
+    const auto known = std::find_if(readers.begin(), readers.end(), [&](const Reader& reader) {
+      return reader.engine->replica.availability_zone == engine.replica.availability_zone;
+    });
+    if (known == readers.end()) {
+      readers.push_back({&engine, read_ms});
+    } else if (read_ms < known->read_ms) {
+      *known = {&engine, read_ms};
+    }
   }
-  return candidate;
+  return readers;
 }
 
-StreamScheduler::Candidate StreamScheduler::ReadAtDecode(Engine& decode, const StreamDemand& demand,
-                                                         absl::Time now) const {
-  Candidate candidate{nullptr, &decode, {}, {}, 0};
-  const absl::Time start = std::max(now, decode.read_until);
-  const double read_ms = kDecodeReadFactor * decode.read_ms_per_token *
-                         static_cast<double>(demand.prompt_tokens) / options_.share;
-  candidate.read_by = start + Milliseconds(read_ms);
-  candidate.first_event = candidate.read_by + kFirstStep;
-  candidate.cost_ms = absl::ToDoubleMilliseconds(candidate.first_event - now);
-  candidate.cost_ms += kRunningMs * decode.running + kReadAtDecodeMs;
-  return candidate;
+std::optional<StreamScheduler::Candidate> StreamScheduler::BestReader(
+    Engine& decode, const std::vector<Reader>& readers, const StreamDemand& demand, Urgency urgency,
+    absl::Time now) const {
+  const double first_step_ms = absl::ToDoubleMilliseconds(kFirstStep);
+  const double due_ms = absl::ToDoubleMilliseconds(demand.due - now);
+  const double running_ms = kRunningMs * decode.running;
+  std::optional<Candidate> best;
+  const auto consider = [&](Engine* prefill, double read_ms, double extra_ms) {
+    const double first_event_ms = read_ms + first_step_ms;
+    if (urgency == Urgency::kOnTime && first_event_ms > due_ms) return;
+    const double cost_ms = first_event_ms + running_ms + extra_ms;
+    if (!best || cost_ms < best->cost_ms) best = Candidate{prefill, &decode, read_ms, cost_ms};
+  };
+  if (urgency == Urgency::kOnTime || decode.read_until <= now + kLateBacklog) {
+    consider(nullptr, ReadMs(decode, kDecodeReadFactor, demand, now), kReadAtDecodeMs);
+  }
+  for (const Reader& reader : readers) {
+    const Replica& prefill = reader.engine->replica;
+    const bool near = prefill.availability_zone == decode.replica.availability_zone;
+    consider(reader.engine, reader.read_ms, near ? 0 : kOtherZoneMs);
+  }
+  return best;
 }
 
 std::optional<StreamScheduler::Candidate> StreamScheduler::Best(const StreamDemand& demand,
                                                                 Urgency urgency, absl::Time now) {
-  std::optional<Candidate> best;
-  const auto consider = [&](const Candidate& candidate) {
-    if (urgency == Urgency::kOnTime && candidate.first_event > demand.due) return;
-    if (!best || candidate.cost_ms < best->cost_ms) best = candidate;
-  };
+  // Among the readers of one zone the soonest is the best for every decode engine.
+  const std::vector<Reader> readers = SoonestReaders(demand, urgency, now);
+  std::vector<Candidate> candidates;
   for (auto& [decode_id, decode] : engines_) {
-    if (decode.replica.role != EngineRole::kDecode) continue;
-    if (!Usable(decode, demand, now) || !HasRoom(decode, demand, urgency, now)) continue;
-    const bool decode_reads_soon = decode.read_until <= now + kLateBacklog;
-    if (urgency == Urgency::kOnTime || decode_reads_soon) {
-      consider(ReadAtDecode(decode, demand, now));
-    }
-    for (auto& [prefill_id, prefill] : engines_) {
-      if (prefill.replica.role != EngineRole::kPrefill || !Usable(prefill, demand, now)) continue;
-      const bool reads_soon = prefill.read_until <= now + kLateBacklog;
-      if (urgency == Urgency::kOnTime || reads_soon) {
-        consider(ReadApart(prefill, decode, demand, now));
-      }
-    }
+    if (decode.replica.role != EngineRole::kDecode || !Usable(decode, demand, now)) continue;
+    const auto best = BestReader(decode, readers, demand, urgency, now);
+    if (best) candidates.push_back(*best);
   }
-  return best;
+  // Room is the dearest question, so it is asked of the best engines first.
+  const auto worse = [](const Candidate& a, const Candidate& b) {
+    if (a.cost_ms != b.cost_ms) return a.cost_ms > b.cost_ms;
+    return a.decode->replica.id > b.decode->replica.id;
+  };
+  std::make_heap(candidates.begin(), candidates.end(), worse);
+  while (!candidates.empty()) {
+    const Candidate& first = candidates.front();
+    if (HasRoom(*first.decode, demand, urgency, now)) return first;
+    std::pop_heap(candidates.begin(), candidates.end(), worse);
+    candidates.pop_back();
+  }
+  return std::nullopt;
+}
+
+bool StreamScheduler::AnyRoom(const StreamDemand& demand, absl::Time now) {
+  return std::any_of(engines_.begin(), engines_.end(), [&](auto& entry) {
+    Engine& engine = entry.second;
+    return engine.replica.role == EngineRole::kDecode &&
+           HasRoom(engine, demand, Urgency::kOnTime, now);
+  });
+}
+
+StreamScheduler::Outlook StreamScheduler::LookAhead() const {
+  Outlook outlook;
+  for (const auto& [id, engine] : engines_) {
+    const double factor = engine.replica.role == EngineRole::kPrefill ? 1.0 : kDecodeReadFactor;
+    outlook.soonest = std::min(outlook.soonest, engine.read_until);
+    outlook.ms_per_token = std::min(outlook.ms_per_token, factor * engine.read_ms_per_token);
+  }
+  return outlook;
+}
+
+bool StreamScheduler::MayStart(const Outlook& outlook, const StreamDemand& demand,
+                               absl::Time now) const {
+  if (outlook.soonest <= now + kLateBacklog) return true;
+  const double read_ms =
+      outlook.ms_per_token * static_cast<double>(demand.prompt_tokens) / options_.share;
+  return outlook.soonest + Milliseconds(read_ms) + kFirstStep <= demand.due;
 }
 
 StreamDecision StreamScheduler::Grant(std::uint64_t ticket, const StreamDemand& demand,
                                       const Candidate& candidate, absl::Time now) {
   Engine& reader = candidate.prefill != nullptr ? *candidate.prefill : *candidate.decode;
-  reader.read_until = candidate.read_by;
+  const absl::Time read_by = now + Milliseconds(candidate.read_ms);
+  const absl::Time first_event = read_by + kFirstStep;
+  reader.read_until = read_by;
   if (candidate.prefill != nullptr) {
     prefill_ms_placed_ +=
         candidate.prefill->read_ms_per_token * static_cast<double>(demand.prompt_tokens);
   }
   candidate.decode->reserved += Footprint(demand);
   ++candidate.decode->running;
+  candidate.decode->streams.push_back(ticket);
+  candidate.decode->refused = {};
 
   StreamDecision decision;
   decision.verdict = StreamVerdict::kGranted;
   decision.ticket = ticket;
   if (candidate.prefill != nullptr) decision.prefill = candidate.prefill->replica.id;
   decision.decode = candidate.decode->replica.id;
-  decision.expected = candidate.first_event - now;
-  placed_[ticket] = {demand,
-                     decision.prefill,
-                     decision.decode,
-                     now,
-                     candidate.read_by,
-                     candidate.first_event,
+  decision.expected = first_event - now;
+  placed_[ticket] = {demand,          decision.prefill, decision.decode, now, read_by, first_event,
                      /*reading=*/true};
   return decision;
 }
@@ -224,24 +279,41 @@
   if (engine != nullptr) {
     engine->reserved += Footprint(demand);
     ++engine->running;
+    engine->streams.push_back(ticket);
   }
   return ticket;
 }
 
-std::vector<StreamDecision> StreamScheduler::Advance(absl::Time now) {
-  std::vector<StreamDecision> decisions;
+std::vector<std::uint64_t> StreamScheduler::WaitingOrder() const {
   std::vector<std::uint64_t> order;
   for (const auto& [ticket, demand] : waiting_) order.push_back(ticket);
   std::stable_sort(order.begin(), order.end(), [&](std::uint64_t a, std::uint64_t b) {
     return waiting_.at(a).priority < waiting_.at(b).priority;
   });
-  for (const std::uint64_t ticket : order) {
-    const StreamDemand demand = waiting_.at(ticket);
-    auto candidate = Best(demand, Urgency::kOnTime, now);
-    if (!candidate) candidate = Best(demand, Urgency::kLate, now);
-    if (candidate && candidate->first_event + kGiveUpMargin <= demand.give_up) {
+  return order;
+}
+
+std::vector<StreamDecision> StreamScheduler::Advance(absl::Time now) {
+  std::vector<StreamDecision> decisions;
+  Outlook outlook = LookAhead();
+  // Within a round room only shrinks, so demands as large as one without room need no search.
+  std::optional<StreamDemand> without_room;
+  for (const std::uint64_t ticket : WaitingOrder()) {
+    const StreamDemand& demand = waiting_.at(ticket);
+    const bool too_large = without_room && demand.prompt_tokens >= without_room->prompt_tokens &&
+                           demand.output_tokens >= without_room->output_tokens;
+    std::optional<Candidate> candidate;
+    if (!too_large && MayStart(outlook, demand, now)) {
+      candidate = Best(demand, Urgency::kOnTime, now);
+      if (!candidate) candidate = Best(demand, Urgency::kLate, now);
+      if (!candidate && !AnyRoom(demand, now)) without_room = demand;
+    }
+    const absl::Time first_event =
+        candidate ? now + Milliseconds(candidate->read_ms) + kFirstStep : absl::InfiniteFuture();
+    if (first_event + kGiveUpMargin <= demand.give_up) {
       decisions.push_back(Grant(ticket, demand, *candidate, now));
       waiting_.erase(ticket);
+      outlook = LookAhead();
     } else if (now + kFirstStep + kGiveUpMargin > demand.give_up) {
       decisions.push_back(Refuse(ticket, "no capacity before its caller leaves", now));
       waiting_.erase(ticket);
--- a/packages/dispatch/src/stream_scheduler_engines.cc
+++ b/packages/dispatch/src/stream_scheduler_engines.cc
@@ -50,9 +50,14 @@
     engine.replica = replica;
     if (engine.read_ms_per_token <= 0) engine.read_ms_per_token = kDefaultReadMsPerToken;
     if (engine.decode_ms_per_token <= 0) engine.decode_ms_per_token = kDefaultDecodeMsPerToken;
+    engine.streams.clear();
     next.emplace(replica.id, std::move(engine));
   }
   engines_ = std::move(next);
+  for (const auto& [ticket, placed] : placed_) {
+    Engine* engine = Find(placed.decode);
+    if (engine != nullptr) engine->streams.push_back(ticket);
+  }
 }
 
 StreamScheduler::Engine* StreamScheduler::Find(absl::string_view id) {
@@ -70,9 +75,10 @@
   const bool may_be =
       decode.replica.role == EngineRole::kDecode && decode.running >= kSilentStreams;
   if (!may_be || decode.last_sign > overdue) return false;
-  const auto count = std::count_if(placed_.begin(), placed_.end(), [&](const auto& entry) {
-    const Placed& placed = entry.second;
-    return !placed.started && placed.decode == decode.replica.id && placed.first_event < overdue;
+  const auto& streams = decode.streams;
+  const auto count = std::count_if(streams.begin(), streams.end(), [&](std::uint64_t ticket) {
+    const Placed& placed = placed_.at(ticket);
+    return !placed.started && placed.first_event < overdue;
   });
   return count >= kSilentStreams;
 }
@@ -124,14 +130,16 @@
   engine.suspended_until = now + step * engine.failures;
 }
 
-std::string StreamScheduler::Describe(absl::Time now) const {
-  std::string text;
-  for (const auto& [id, engine] : engines_) {
-    const absl::Duration backlog = std::max(engine.read_until - now, absl::ZeroDuration());
-    absl::StrAppend(&text, text.empty() ? "" : " ", id,
-                    engine.replica.role == EngineRole::kPrefill ? " p " : " d ", engine.running,
-                    "/", engine.reserved, "/", absl::ToInt64Milliseconds(backlog), "ms",
-                    now < engine.suspended_until ? "!" : "", IsSilent(engine, now) ? "?" : "");
+std::string StreamScheduler::Describe(const StreamDecision& decision, absl::Time now) const {
+  std::string text = absl::StrCat("running ", placed_.size(), " waiting ", waiting_.size());
+  const auto decode = engines_.find(decision.decode);
+  if (decode != engines_.end()) {
+    absl::StrAppend(&text, " decode ", decode->second.running, "/", decode->second.reserved);
+  }
+  const auto prefill = engines_.find(decision.prefill.value_or(""));
+  if (prefill != engines_.end()) {
+    const absl::Duration backlog = std::max(prefill->second.read_until - now, absl::ZeroDuration());
+    absl::StrAppend(&text, " prefill ", absl::ToInt64Milliseconds(backlog), "ms");
   }
   return text;
 }
@@ -186,6 +194,7 @@
   if (engine == nullptr) return;
   engine->failures = 0;
   engine->last_sign = now;
+  engine->refused = {};
 }
 
 void StreamScheduler::OnEnd(std::uint64_t ticket, StreamEnd end, absl::Time now) {
@@ -196,6 +205,8 @@
   placed_.erase(found);
   Engine* decode = Find(placed.decode);
   if (decode != nullptr) {
+    std::erase(decode->streams, ticket);
+    decode->refused = {};
     decode->reserved = std::max<TokenCount>(0, decode->reserved - Footprint(placed.demand));
     decode->running = std::max(0, decode->running - 1);
     if (end == StreamEnd::kDone) decode->last_sign = now;
