--- a/tests/platform/fake_replica.cc
+++ b/tests/platform/fake_replica.cc
@@ -134,7 +134,10 @@
     return reply.Abort();
   }
   (void)reply.SendWhole(status, fields, PlainBody(id), yield);
-  if (behavior == ReplicaBehavior::kExtraAnswer) {
+  if (behavior == ReplicaBehavior::kLateExtraAnswer) {
+    Pause(io_, absl::Milliseconds(100), cancellation, yield);
+  }
+  if (behavior == ReplicaBehavior::kExtraAnswer || behavior == ReplicaBehavior::kLateExtraAnswer) {
     (void)reply.SendWhole(status, fields, PlainBody(id), yield);
   }
 }
--- a/tests/platform/fake_replica.h
+++ b/tests/platform/fake_replica.h
@@ -33,6 +33,8 @@
   kUnsealed,
   /// Sends a second answer behind the first.
   kExtraAnswer,
+  /// Sends a second copy of the answer 100 ms later.
+  kLateExtraAnswer,
   /// Answers, and says that it is leaving.
   kLeaving,
   /// Rejects without running and asks for a pause of 2 s.
--- /dev/null
+++ b/tests/platform/platform_hazards_test.cc
@@ -0,0 +1,110 @@
+// Troubles that operators of similar systems have met; docs/proofs.md lists them.
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+#include "absl/time/clock.h"
+#include "world.h"
+
+namespace marigoldquay::testing {
+namespace {
+
+constexpr int kVms = 3;
+
+WorldOptions Named(const std::string& name, int vms) {
+  WorldOptions options;
+  options.name = name;
+  options.vms = vms;
+  return options;
+}
+
+CallerCall To(const std::string& path) {
+  CallerCall call;
+  call.id = NewRequestId();
+  call.path = path;
+  if (path != "/order/x" && path != "/status/x") call.headers = {"Token-Count: 100,10"};
+  return call;
+}
+
+BOOST_AUTO_TEST_SUITE(platform_hazards)
+
+// Guards against a caller that gets the second, late copy of the answer to another caller, on a
+// connection to the server that is in use again.
+BOOST_AUTO_TEST_CASE(late_second_answer_reaches_nobody) {
+  auto options = Named("hazard_late_answer", 1);
+  options.desk_replicas = 1;
+  options.behavior = [](const std::string&) { return ReplicaBehavior::kLateExtraAnswer; };
+  World world(options);
+  BOOST_TEST_REQUIRE(world.AwaitReady(0));
+  for (int i = 0; i < 30; ++i) {
+    const auto call = To(i % 3 == 0 ? "/order/x" : "/status/x");
+    const auto reply = world.Call(0, call);
+    if (reply.status == 200) BOOST_TEST(reply.body == PlainBody(call.id));
+    absl::SleepFor(absl::Milliseconds(10 * (i % 15)));
+  }
+}
+
+// Guards against a sound stream that is cut since it is slow.
+BOOST_AUTO_TEST_CASE(slow_stream_is_not_cut) {
+  auto options = Named("hazard_slow_stream", 1);
+  options.event_gap = absl::Milliseconds(700);
+  World world(options);
+  BOOST_TEST_REQUIRE(world.AwaitReady(0));
+  auto call = To("/once/x");
+  call.time_left = absl::Seconds(10);
+  const auto reply = world.Call(0, call);
+  BOOST_TEST(reply.status == 200);
+  BOOST_TEST(reply.complete());
+}
+
+// Guards against a stalled stream that sends a little now and then and never ends: the time-out of
+// the route, 5 s, ends it at both sides.
+BOOST_AUTO_TEST_CASE(stalled_stream_ends) {
+  auto options = Named("hazard_stalled_stream", 1);
+  options.event_gap = absl::Milliseconds(1500);
+  World world(options);
+  BOOST_TEST_REQUIRE(world.AwaitReady(0));
+  auto call = To("/once/x");
+  call.time_left = absl::Seconds(14);
+  const absl::Time started = absl::Now();
+  const auto reply = world.Call(0, call);
+  BOOST_TEST((absl::Now() - started < absl::Milliseconds(5500)));
+  BOOST_TEST(!reply.complete());
+  BOOST_TEST(Eventually(absl::Seconds(1), [&] {
+    const auto runs = world.RunsOf(call.id);
+    return !runs.empty() && runs.back().cancelled.has_value();
+  }));
+}
+
+// Guards against a withdrawn key, or a server that has left, that is in use again after any VM, the
+// coordinating one among them, was started again.
+BOOST_AUTO_TEST_CASE(restart_brings_nothing_back) {
+  World world(Named("hazard_restart", kVms));
+  for (int i = 0; i < kVms; ++i) BOOST_TEST_REQUIRE(world.AwaitReady(i));
+  world.Configure([](boost::json::object& config) {
+    config["tenants"].as_array()[0].as_object()["apiKeys"] = boost::json::array{"key-1b"};
+  });
+  world.Announce("s1", "draining");
+  world.Unlist("s2");
+  absl::SleepFor(absl::Seconds(2));
+  const absl::Time bound = absl::Now();
+  for (int killed = 0; killed < kVms; ++killed) {
+    world.vm(killed).Kill();
+    world.StartVm(killed);
+    BOOST_TEST_REQUIRE(world.AwaitReady(killed));
+    for (int i = 0; i < 30; ++i) {
+      auto withdrawn = To("/order/x");
+      BOOST_TEST(world.Call(i % kVms, withdrawn).status == 401);
+      auto call = To("/order/x");
+      call.key = "key-2";
+      BOOST_TEST(world.Call(i % kVms, call).status == 200);
+    }
+  }
+  for (const auto& run : world.Seen().runs) {
+    BOOST_TEST((run.started < bound || run.replica == "s3"));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace marigoldquay::testing
--- a/tests/platform/platform_roles_test.cc
+++ b/tests/platform/platform_roles_test.cc
@@ -57,6 +57,30 @@
   }
 
   std::vector<ReplicaOrder> Orders() { return world.Seen().orders; }
+
+  // Index of the VM that a holder's name begins with.
+  static int VmOf(const std::string& holder) {
+    for (int vm = 0; vm < 3; ++vm) {
+      const std::string name = absl::StrCat("vm-", vm);
+      if (holder.compare(0, name.size(), name) == 0) return vm;
+    }
+    return -1;
+  }
+
+  // Claims only grow, two holders are a lease apart, and no engine is ordered twice.
+  void CheckHolders() {
+    const auto orders = Orders();
+    std::set<std::string> changed;
+    for (std::size_t i = 0; i < orders.size(); ++i) {
+      changed.insert(orders[i].replica);
+      if (i == 0) continue;
+      BOOST_TEST(orders[i].claim >= orders[i - 1].claim);
+      if (orders[i].holder == orders[i - 1].holder) continue;
+      BOOST_TEST(orders[i].claim > orders[i - 1].claim);
+      BOOST_TEST((orders[i].at - orders[i - 1].at > kLease));
+    }
+    BOOST_TEST(changed.size() == orders.size());
+  }
 };
 
 BOOST_FIXTURE_TEST_SUITE(platform_roles, Fixture)
@@ -70,26 +94,28 @@
   BOOST_TEST(first.claim >= 1);
   const int before = served;
   BOOST_TEST(Eventually(absl::Seconds(5), [&] { return served > before; }));
-  // The holder's name begins with its VM.
-  for (int vm = 0; vm < 3; ++vm) {
-    const std::string name = absl::StrCat("vm-", vm);
-    if (first.holder.compare(0, name.size(), name) == 0) {
-      world.vm(vm).Kill();
-      world.StartVm(vm);
-    }
-  }
+  const int vm = VmOf(first.holder);
+  BOOST_TEST_REQUIRE(vm >= 0);
+  world.vm(vm).Kill();
+  world.StartVm(vm);
   BOOST_TEST(Eventually(absl::Seconds(30), [&] { return Orders().back().holder != first.holder; }));
-  const auto orders = Orders();
-  std::set<std::string> changed;
-  for (std::size_t i = 0; i < orders.size(); ++i) {
-    changed.insert(orders[i].replica);
-    if (i == 0) continue;
-    BOOST_TEST(orders[i].claim >= orders[i - 1].claim);
-    if (orders[i].holder == orders[i - 1].holder) continue;
-    BOOST_TEST(orders[i].claim > orders[i - 1].claim);
-    BOOST_TEST((orders[i].at - orders[i - 1].at > kLease));
-  }
-  BOOST_TEST(changed.size() == orders.size());
+  CheckHolders();
+}
+
+// Guards against a holder that was paused for seconds and then acts on a claim that another VM has
+// taken over meanwhile.
+BOOST_AUTO_TEST_CASE(paused_holder_gives_no_orders_on_its_old_claim) {
+  BOOST_TEST_REQUIRE(Eventually(absl::Seconds(15), [&] { return !Orders().empty(); }));
+  const auto first = Orders().front();
+  const int vm = VmOf(first.holder);
+  BOOST_TEST_REQUIRE(vm >= 0);
+  world.vm(vm).Pause();
+  const bool taken_over =
+      Eventually(absl::Seconds(30), [&] { return Orders().back().holder != first.holder; });
+  world.vm(vm).Resume();
+  BOOST_TEST(taken_over);
+  absl::SleepFor(absl::Seconds(4));
+  CheckHolders();
 }
 
 BOOST_AUTO_TEST_SUITE_END()
