Give VMs the whole list of servers when they follow the coordinator again

Cause: a VM that had read the list itself during an outage of the store went back to the coordinator's changes with its own gaps: servers whose entries had lapsed were removed there 2.2 s later, while the coordinator, which saw them return in time, had no change to send. Ruled out: the new hand-over; the rule is older.

The VM now asks for the whole list and drops its own waiting removals. platform_scale/servers_that_lapsed_during_an_outage_are_back_everywhere: 104 requests refused before, none after.

--- a/packages/fleet/include/marigoldquay/fleet/coordinator_link.h
+++ b/packages/fleet/include/marigoldquay/fleet/coordinator_link.h
@@ -78,6 +78,7 @@
   bool connected() const { return connection_ != nullptr; }
   bool FeedIsFresh() const override;
   bool FeedsOthers() const override;
+  void RequestServers() override { needs_servers_ = true; }
   /// When what the coordinators have passed on was read from the store.
   absl::Time feed_time() const { return feed_time_; }
   /// The coordinator, once it has confirmed that it is one.
@@ -230,6 +231,7 @@
   // Admitted here without asking, since the last report and since the last state.
   std::map<WorkspaceId, TokenCount> spent_;
   std::set<BackendServerId> leaving_servers_;
+  bool needs_servers_ = false;
   std::map<WorkspaceId, TokenCount> spent_since_state_;
   // Workspaces that the coordinator has just refused, with the time until which that holds.
   std::map<WorkspaceId, absl::Time> refused_until_;
--- a/packages/fleet/include/marigoldquay/fleet/followers.h
+++ b/packages/fleet/include/marigoldquay/fleet/followers.h
@@ -21,6 +21,8 @@
   virtual bool FeedIsFresh() const = 0;
   /// Whether other VMs rely on what this one reads.
   virtual bool FeedsOthers() const = 0;
+  /// Asks the coordinator for all backend servers: changes do not do after own reads.
+  virtual void RequestServers() = 0;
 };
 
 /// Follows the operator's configuration with waiting reads, or reads it when the coordinator names
@@ -72,7 +74,7 @@
 class ReplicaFollower {
  public:
   ReplicaFollower(asio::io_context& io, const Clock& clock, ClusterStore& store, ClusterView& view,
-                  const FeedMonitor& feed, std::function<void()> on_change)
+                  FeedMonitor& feed, std::function<void()> on_change)
       : io_(io),
         clock_(clock),
         store_(store),
@@ -96,9 +98,11 @@
   const Clock& clock_;
   ClusterStore& store_;
   ClusterView& view_;
-  const FeedMonitor& feed_;
+  FeedMonitor& feed_;
   std::function<void()> on_change_;
   absl::Time last_contact_ = absl::InfinitePast();
+  // Whether this VM has read the list itself since it last followed the coordinator.
+  bool reads_itself_ = true;
   // Unset when the whole list has to be read.
   std::optional<Offset> next_;
   // Servers that vanished while or just after the store was away, with the time at which they are
--- a/packages/fleet/src/coordinator.cc
+++ b/packages/fleet/src/coordinator.cc
@@ -198,6 +198,7 @@
   session.store_contact = now - absl::Milliseconds(report.store_age_ms);
   reporting_.Set(session.member);
   if (!session.reported) OnFirstReport(session, report);
+  if (report.needs_servers) session.sent_replicas = 0;
   for (const auto& server : report.leaving_servers) hooks_.on_leaving_server(server);
   const auto catalog = view_.catalog();
   if (!catalog) return;
--- a/packages/fleet/src/coordinator_link.cc
+++ b/packages/fleet/src/coordinator_link.cc
@@ -359,6 +359,7 @@
   report.store_age_ms = static_cast<std::uint32_t>(absl::ToInt64Milliseconds(store_age));
   report.leaving_servers.assign(leaving_servers_.begin(), leaving_servers_.end());
   leaving_servers_.clear();
+  report.needs_servers = std::exchange(needs_servers_, false);
   const auto catalog = view_.catalog();
   report.catalog_version = catalog ? catalog->version() : 0;
   for (const auto& [workspace, tokens] : spent_) {
@@ -381,7 +382,7 @@
 }
 
 bool CoordinatorLink::ReportIsDue() const {
-  if (!spent_.empty() || !leaving_servers_.empty()) return true;
+  if (!spent_.empty() || !leaving_servers_.empty() || needs_servers_) return true;
   const absl::Time now = clock_.Now();
   const bool reaches_store = now - hooks_.store_contact() < kFreshContact;
   // A coordinator that has lost the store hands over to a VM that reaches it.
--- a/packages/fleet/src/coordinator_state.cc
+++ b/packages/fleet/src/coordinator_state.cc
@@ -1,6 +1,7 @@
 // What the coordinator tells the VMs that report to it.
 #include <algorithm>
 #include <map>
+#include <tuple>
 #include <utility>
 
 #include "absl/container/flat_hash_set.h"
@@ -156,7 +157,10 @@
     std::uint64_t members = 0;
     std::uint64_t replicas = 0;
     std::uint64_t catalog = 0;
-    auto operator<=>(const Told&) const = default;
+    bool operator<(const Told& other) const {
+      return std::tie(members, replicas, catalog) <
+             std::tie(other.members, other.replicas, other.catalog);
+    }
   };
   std::map<Told, std::string> frames;
   int whole_lists = 0;
--- a/packages/fleet/src/followers.cc
+++ b/packages/fleet/src/followers.cc
@@ -211,9 +211,15 @@
 void ReplicaFollower::Run(Yield yield) {
   while (true) {
     if (!feed_.FeedIsFresh()) {
+      reads_itself_ = true;
       ReadOnce(yield);
       continue;
     }
+    if (std::exchange(reads_itself_, false)) {
+      // What is gone is for the coordinator to say from now on.
+      vanished_.clear();
+      feed_.RequestServers();
+    }
     // The offset grows old while the feed is followed.
     next_.reset();
     away_ = false;
--- a/packages/protocol/include/marigoldquay/protocol/inner_generated.h
+++ b/packages/protocol/include/marigoldquay/protocol/inner_generated.h
@@ -4789,6 +4789,7 @@
   uint32_t store_age_ms = 0;
   std::vector<std::string> leaving_servers{};
   uint64_t catalog_version = 0;
+  bool needs_servers = false;
   FleetReportT() = default;
   FleetReportT(const FleetReportT &o);
   FleetReportT(FleetReportT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4809,7 +4810,8 @@
     VT_LEVELS = 10,
     VT_STORE_AGE_MS = 12,
     VT_LEAVING_SERVERS = 14,
-    VT_CATALOG_VERSION = 16
+    VT_CATALOG_VERSION = 16,
+    VT_NEEDS_SERVERS = 18
   };
   const marigoldquay::protocol::FleetMember *sender() const {
     return GetPointer<const marigoldquay::protocol::FleetMember *>(VT_SENDER);
@@ -4832,6 +4834,9 @@
   uint64_t catalog_version() const {
     return GetField<uint64_t>(VT_CATALOG_VERSION, 0);
   }
+  bool needs_servers() const {
+    return GetField<uint8_t>(VT_NEEDS_SERVERS, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_SENDER) &&
@@ -4848,6 +4853,7 @@
            verifier.VerifyVector(leaving_servers()) &&
            verifier.VerifyVectorOfStrings(leaving_servers()) &&
            VerifyField<uint64_t>(verifier, VT_CATALOG_VERSION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_NEEDS_SERVERS, 1) &&
            verifier.EndTable();
   }
   FleetReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4880,6 +4886,9 @@
   void add_catalog_version(uint64_t catalog_version) {
     fbb_.AddElement<uint64_t>(FleetReport::VT_CATALOG_VERSION, catalog_version, 0);
   }
+  void add_needs_servers(bool needs_servers) {
+    fbb_.AddElement<uint8_t>(FleetReport::VT_NEEDS_SERVERS, static_cast<uint8_t>(needs_servers), 0);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4900,7 +4909,8 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>>> levels = 0,
     uint32_t store_age_ms = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> leaving_servers = 0,
-    uint64_t catalog_version = 0) {
+    uint64_t catalog_version = 0,
+    bool needs_servers = false) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_catalog_version(catalog_version);
   builder_.add_leaving_servers(leaving_servers);
@@ -4909,6 +4919,7 @@
   builder_.add_member_count(member_count);
   builder_.add_spent(spent);
   builder_.add_sender(sender);
+  builder_.add_needs_servers(needs_servers);
   return builder_.Finish();
 }
 
@@ -4925,7 +4936,8 @@
     const std::vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>> *levels = nullptr,
     uint32_t store_age_ms = 0,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *leaving_servers = nullptr,
-    uint64_t catalog_version = 0) {
+    uint64_t catalog_version = 0,
+    bool needs_servers = false) {
   auto spent__ = spent ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>>(*spent) : 0;
   auto levels__ = levels ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>>(*levels) : 0;
   auto leaving_servers__ = leaving_servers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*leaving_servers) : 0;
@@ -4937,7 +4949,8 @@
       levels__,
       store_age_ms,
       leaving_servers__,
-      catalog_version);
+      catalog_version,
+      needs_servers);
 }
 
 flatbuffers::Offset<FleetReport> CreateFleetReport(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -7895,7 +7908,8 @@
       (lhs.levels.size() == rhs.levels.size() && std::equal(lhs.levels.cbegin(), lhs.levels.cend(), rhs.levels.cbegin(), [](std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT> const &a, std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
       (lhs.store_age_ms == rhs.store_age_ms) &&
       (lhs.leaving_servers == rhs.leaving_servers) &&
-      (lhs.catalog_version == rhs.catalog_version);
+      (lhs.catalog_version == rhs.catalog_version) &&
+      (lhs.needs_servers == rhs.needs_servers);
 }
 
 inline bool operator!=(const FleetReportT &lhs, const FleetReportT &rhs) {
@@ -7908,7 +7922,8 @@
         member_count(o.member_count),
         store_age_ms(o.store_age_ms),
         leaving_servers(o.leaving_servers),
-        catalog_version(o.catalog_version) {
+        catalog_version(o.catalog_version),
+        needs_servers(o.needs_servers) {
   spent.reserve(o.spent.size());
   for (const auto &spent_ : o.spent) { spent.emplace_back((spent_) ? new marigoldquay::protocol::WorkspaceTokensT(*spent_) : nullptr); }
   levels.reserve(o.levels.size());
@@ -7923,6 +7938,7 @@
   std::swap(store_age_ms, o.store_age_ms);
   std::swap(leaving_servers, o.leaving_servers);
   std::swap(catalog_version, o.catalog_version);
+  std::swap(needs_servers, o.needs_servers);
   return *this;
 }
 
@@ -7942,6 +7958,7 @@
   { auto _e = store_age_ms(); _o->store_age_ms = _e; }
   { auto _e = leaving_servers(); if (_e) { _o->leaving_servers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->leaving_servers[_i] = _e->Get(_i)->str(); } } }
   { auto _e = catalog_version(); _o->catalog_version = _e; }
+  { auto _e = needs_servers(); _o->needs_servers = _e; }
 }
 
 inline flatbuffers::Offset<FleetReport> FleetReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7959,6 +7976,7 @@
   auto _store_age_ms = _o->store_age_ms;
   auto _leaving_servers = _o->leaving_servers.size() ? _fbb.CreateVectorOfStrings(_o->leaving_servers) : 0;
   auto _catalog_version = _o->catalog_version;
+  auto _needs_servers = _o->needs_servers;
   return marigoldquay::protocol::CreateFleetReport(
       _fbb,
       _sender,
@@ -7967,7 +7985,8 @@
       _levels,
       _store_age_ms,
       _leaving_servers,
-      _catalog_version);
+      _catalog_version,
+      _needs_servers);
 }
 
 
--- a/tests/platform/platform_scale_test.cc
+++ b/tests/platform/platform_scale_test.cc
@@ -167,6 +167,25 @@
   BOOST_TEST(CallsOf(world) - before <= 60U);
 }
 
+// Guards against servers that are lost to some VMs for good: entries that lapsed while the store
+// was away were missing in a VM's own read, and came back when it followed the coordinator again.
+BOOST_AUTO_TEST_CASE(servers_that_lapsed_during_an_outage_are_back_everywhere) {
+  World world(Named("scale_lapsed"));
+  AwaitAll(world);
+  absl::SleepFor(absl::Seconds(3));
+  const std::vector<std::string> servers = {"s1", "s2", "s3"};
+  world.Run([&] { world.store().set_mode(StoreMode::kSilent); });
+  for (const auto& server : servers) world.Unlist(server);
+  absl::SleepFor(absl::Seconds(5));
+  world.Run([&] { world.store().set_mode(StoreMode::kUp); });
+  absl::SleepFor(absl::Milliseconds(1500));
+  for (const auto& server : servers) world.Announce(server, "ready");
+  const absl::Time until = absl::Now() + absl::Seconds(6);
+  while (absl::Now() < until) {
+    for (int i = 0; i < kVms; ++i) BOOST_TEST(world.Call(i, Order()).status == 200);
+  }
+}
+
 // Guards against work for a server that says in its answers that it is leaving, at the VM that was
 // told so and at the others.
 BOOST_AUTO_TEST_CASE(leaving_server_is_left_alone_by_all) {
