--- a/packages/dispatch/src/stream_scheduler.cc
+++ b/packages/dispatch/src/stream_scheduler.cc
@@ -103,7 +103,8 @@
                                                                      Urgency urgency,
                                                                      absl::Time now) {
   std::vector<Reader> readers;
-  for (auto& [id, engine] : engines_) {
+  for (auto& entry : engines_) {
+    Engine& engine = entry.second;
     if (engine.replica.role != EngineRole::kPrefill || !Usable(engine, demand, now)) continue;
     if (urgency == Urgency::kLate && engine.read_until > now + kLateBacklog) continue;
     const double read_ms = ReadMs(engine, 1.0, demand, now);
--- a/packages/fleet/include/marigoldquay/fleet/fwd.h
+++ b/packages/fleet/include/marigoldquay/fleet/fwd.h
@@ -15,8 +15,10 @@
 class RetryDelay;
 class RoleKeeper;
 struct CatalogUpdate;
+struct CoordinatorHooks;
+struct CoordinatorLinkHooks;
 struct FleetMember;
-struct FleetOptions;
+struct MemberChanges;
 struct ReplicaUpdate;
 
 }  // namespace marigoldquay
