Log the request limits that backend servers name, and count the requests to each server

A response without a limit ends one only when its request was sent after the limit became known, since responses on different connections overtake each other; a restart of the server ends it too. Nothing is enforced yet. A metric counts sends per server.

--- a/apps/marigoldquayd/platform_node.cc
+++ b/apps/marigoldquayd/platform_node.cc
@@ -131,7 +131,10 @@
         replica_follower_(io_, clock_, store_, view_, link_, [this] { OnReplicaChange(); }),
         front_({io_, clock_, view_, dialect_, connections_, health_, balancer_, budgets_, link_,
                 link_, [this] { return link_.member_count(); },
-                [this](const BackendServerId& id) { OnLeavingServer(id); }}),
+                [this](const BackendServerId& id) { OnLeavingServer(id); },
+                [this](const BackendServerId& id, const RequestLimit& limit) {
+                  OnRequestLimit(id, limit);
+                }}),
         directory_(
             [this] {
               return SampleCallerAddresses(link_.members(), kMaxAddresses, RandomFraction);
@@ -236,6 +239,15 @@
     OnReplicaChange();
   }
 
+  // A backend server has stated a request limit to this VM.
+  void OnRequestLimit(const BackendServerId& id, const RequestLimit& limit) {
+    if (!view_.replicas().SetRequestLimit(id, limit)) return;
+    LogFields fields;
+    fields.Add("backend_server", id)
+        .Add("per_second", limit.per_second ? absl::StrCat(*limit.per_second) : "none");
+    Log().Event("backend_server_limit", fields);
+  }
+
   void OnCatalogChange() {
     coordinator_.OnClusterChange();
     link_.OnClusterChange();
--- a/packages/relay/include/marigoldquay/relay/backend_dialect.h
+++ b/packages/relay/include/marigoldquay/relay/backend_dialect.h
@@ -58,6 +58,8 @@
 
 /// Properties of a response that are carried in its status and header fields.
 struct BackendResponse {
+  /// Whether the status is 2xx.
+  bool successful = false;
   /// Id of the request that the response belongs to; empty when absent.
   RequestId request_id;
   /// Whether the response carries the signature of the server.
@@ -73,6 +75,10 @@
   bool draining = false;
   /// Set when the server rejected the request and accepts none for this time.
   std::optional<absl::Duration> retry_after;
+  /// Requests per second that the server accepts from all VMs together; unset when not stated.
+  std::optional<double> request_limit;
+  /// Whether the server stated a limit that is not a number of requests.
+  bool malformed_request_limit = false;
   /// How long the server keeps an idle connection open; infinite when not stated.
   absl::Duration keep_alive = absl::InfiniteDuration();
 
--- a/packages/relay/include/marigoldquay/relay/front_handler.h
+++ b/packages/relay/include/marigoldquay/relay/front_handler.h
@@ -55,6 +55,8 @@
   std::function<std::size_t()> member_count;
   /// Called when a backend server announces that it is shutting down.
   std::function<void(const BackendServerId&)> on_draining_server;
+  /// Called with the request limit that a response states, or that it no longer states one.
+  std::function<void(const BackendServerId&, const RequestLimit&)> on_request_limit;
 };
 
 /// Handles the requests received at the callers' address.
--- a/packages/relay/src/backend_attempt.cc
+++ b/packages/relay/src/backend_attempt.cc
@@ -79,6 +79,8 @@
   close_on_cancel_ =
       std::make_unique<Cancellation::Hook>(state_.cancellation, [this] { connection_->Close(); });
   may_have_reached_ = true;
+  sent_at_ = state_.Now();
+  CountBackendRequest(replica_.id);
   const HttpRequest request = state_.context.dialect.MakeBackendRequest(state_.request, call);
   const auto sent = connection_->Send(request, options.head_timeout, yield);
   if (!sent) {
@@ -93,7 +95,7 @@
 
 AttemptOutcome BackendAttempt::CheckResponseHead() {
   response_ = state_.context.dialect.DecodeResponse(status(), fields());
-  RecordServerState(state_, replica_.id, response_);
+  RecordServerState(state_, replica_.id, response_, sent_at_);
   if (response_.load) {
     state_.context.balancer.OnLoad(replica_.id, *response_.load, state_.Now());
   }
--- a/packages/relay/src/backend_attempt.h
+++ b/packages/relay/src/backend_attempt.h
@@ -75,6 +75,7 @@
   std::optional<HttpConnection::ResponseParser> parser_;
   BackendResponse response_;
   bool may_have_reached_ = false;
+  absl::Time sent_at_;
   std::string detail_;
 };
 
--- a/packages/relay/src/model_relay.cc
+++ b/packages/relay/src/model_relay.cc
@@ -200,6 +200,8 @@
       const auto connected = connection->Connect(kPrefillConnectTimeout, yield);
       if (!connected) return connected.error();
     }
+    const absl::Time sent_at = state_.Now();
+    CountBackendRequest(engine.id);
     const auto sent = connection->Send(
         state_.context.dialect.MakeBackendRequest(state_.request, call), timeout, yield);
     if (!sent) return sent.error();
@@ -207,7 +209,7 @@
     if (!reply) return reply.error();
     if (connection->open()) pool.Put(std::move(connection), state_.MaxIdleConnections());
     const auto response = state_.context.dialect.DecodeResponse(reply->status, reply->fields);
-    RecordServerState(state_, engine.id, response);
+    RecordServerState(state_, engine.id, response, sent_at);
     if (!response.request_id.empty() && response.request_id != state_.metadata.id) {
       return Error{ErrorCode::kProtocol, "read prompt", engine.address,
                    "response belongs to another request"};
--- a/packages/relay/src/request_state.cc
+++ b/packages/relay/src/request_state.cc
@@ -6,6 +6,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
+#include "marigoldquay/core/metrics.h"
 
 namespace marigoldquay::internal {
 namespace {
@@ -15,6 +16,24 @@
 // resets connections beyond its limit, and a request on a reset connection counts as executed.
 constexpr double kMaxIdleFraction = 0.3;
 
+// A response without a limit ends one that was stated before the request was sent; it says nothing
+// about a later one, because responses on different connections may overtake each other.
+void RecordRequestLimit(const RequestState& state, const BackendServerId& server,
+                        const BackendResponse& response, absl::Time sent_at) {
+  if (response.wrong_instance) return;
+  if (response.malformed_request_limit) {
+    RelayLog().Event("backend_server_limit_skipped",
+                     LogFields().Add("request_id", state.metadata.id).Add("backend_server", server),
+                     LogLevel::kWarn);
+    return;
+  }
+  if (response.request_limit) {
+    state.context.on_request_limit(server, {response.request_limit, state.Now()});
+  } else if (response.successful && response.request_id == state.metadata.id) {
+    state.context.on_request_limit(server, {std::nullopt, sent_at});
+  }
+}
+
 // Whether the status guarantees that the request was not executed and never will be.
 bool GuaranteesNotExecuted(unsigned status) {
   return status == 429 || status == 503 || status == 408 || status == 421 ||
@@ -54,8 +73,17 @@
   if (!sent) state.outcome = absl::StrCat(reason, "; ", sent.error().message);
 }
 
+void CountBackendRequest(const BackendServerId& server) {
+  MetricsRegistry::Global()
+      .counter("marigoldquay_relay_backend_requests_total",
+               "Requests sent to backend servers, including repeated ones.",
+               {{"backend_server", server}})
+      .Increment();
+}
+
 void RecordServerState(const RequestState& state, const BackendServerId& server,
-                       const BackendResponse& response) {
+                       const BackendResponse& response, absl::Time sent_at) {
+  RecordRequestLimit(state, server, response, sent_at);
   if (response.draining) state.context.on_draining_server(server);
   if (!response.retry_after) return;
   state.context.health.RecordRetryAfter(server, state.Now() + *response.retry_after);
--- a/packages/relay/src/request_state.h
+++ b/packages/relay/src/request_state.h
@@ -51,10 +51,13 @@
 void SendError(RequestState& state, unsigned status, absl::string_view reason,
                absl::Duration retry_after, Yield yield);
 
-/// Records the server state stated in a response (shutdown, Retry-After), independently of the
-/// outcome of the request.
+/// Counts a request that is about to be sent to a backend server.
+void CountBackendRequest(const BackendServerId& server);
+
+/// Records the server state stated in a response (shutdown, Retry-After, request limit),
+/// independently of the outcome of the request, which was sent at `sent_at`.
 void RecordServerState(const RequestState& state, const BackendServerId& server,
-                       const BackendResponse& response);
+                       const BackendResponse& response, absl::Time sent_at);
 
 /// Relays a request to a plain service, including streams that need no prefill.
 void RelayPlain(RequestState& state, Yield yield);
--- a/packages/routing/include/marigoldquay/routing/replica_table.h
+++ b/packages/routing/include/marigoldquay/routing/replica_table.h
@@ -19,6 +19,17 @@
 /// Phase of a model request that an engine executes.
 enum class EngineRole { kPrefill, kDecode };
 
+/// Limit on the requests that a backend server accepts from all VMs together, as the server states
+/// it in its responses.
+struct RequestLimit {
+  /// Requests per second; unset when the server states no limit.
+  std::optional<double> per_second;
+  /// When the server stated it, on the clock of this VM; a later statement replaces an earlier one.
+  absl::Time stated_at = absl::InfinitePast();
+
+  bool operator==(const RequestLimit&) const = default;
+};
+
 /// One instance of a backend server; a restart is a new instance.
 struct Replica {
   BackendServerId id;
@@ -33,6 +44,8 @@
   std::optional<EngineRole> role;
   /// Start time of the process; distinguishes instances with the same id.
   std::int64_t started_unix_ms = 0;
+  /// Not part of the platform's list.
+  RequestLimit request_limit;
 
   bool operator==(const Replica&) const = default;
 };
@@ -50,11 +63,14 @@
 class ReplicaTable {
  public:
   /// Inserts or updates an entry; returns whether the table changed. An instance that was marked as
-  /// draining stays draining, even when an outdated source reports otherwise. An entry whose
-  /// address belongs to a later instance is ignored.
+  /// draining stays draining, even when an outdated source reports otherwise, and keeps the latest
+  /// request limit that it stated. An entry whose address belongs to a later instance is ignored.
   bool Upsert(Replica replica);
   /// Marks a replica that announced its own shutdown; returns whether the table changed.
   bool MarkDraining(absl::string_view id);
+  /// Records a limit that a replica stated, unless a later one is known; returns whether the number
+  /// of requests changed.
+  bool SetRequestLimit(absl::string_view id, const RequestLimit& limit);
   /// Removes an entry; returns whether it existed.
   bool Remove(absl::string_view id);
 
--- a/packages/routing/src/replica_table.cc
+++ b/packages/routing/src/replica_table.cc
@@ -9,6 +9,12 @@
 // Well above the number of removals between two reports to a VM.
 constexpr std::size_t kMaxRecentRemovals = 2000;
 
+// Whether `stated` replaces `known`. The first statement of a number of requests is kept, so that
+// repetitions are no change.
+bool Replaces(const RequestLimit& stated, const RequestLimit& known) {
+  return stated.per_second != known.per_second && stated.stated_at > known.stated_at;
+}
+
 }  // namespace
 
 bool ReplicaTable::Upsert(Replica replica) {
@@ -25,6 +31,9 @@
     const Replica& current = found->second;
     const bool same_start = current.started_unix_ms == replica.started_unix_ms;
     replica.draining = replica.draining || (same_start && current.draining);
+    if (same_start && !Replaces(replica.request_limit, current.request_limit)) {
+      replica.request_limit = current.request_limit;
+    }
     if (current == replica) return false;
     if (current.address != replica.address) id_by_address_.erase(current.address);
   }
@@ -42,6 +51,14 @@
   return true;
 }
 
+bool ReplicaTable::SetRequestLimit(absl::string_view id, const RequestLimit& limit) {
+  const auto found = replicas_.find(id);
+  if (found == replicas_.end() || !Replaces(limit, found->second.request_limit)) return false;
+  found->second.request_limit = limit;
+  version_by_id_[found->first] = ++version_;
+  return true;
+}
+
 void ReplicaTable::Erase(std::map<BackendServerId, Replica, std::less<>>::iterator entry) {
   recent_removals_.push_back({++version_, entry->first});
   if (recent_removals_.size() > kMaxRecentRemovals) recent_removals_.pop_front();
--- a/packages/routing/tests/cluster_view_test.cc
+++ b/packages/routing/tests/cluster_view_test.cc
@@ -85,6 +85,32 @@
   BOOST_TEST(changes.updated[0].draining);
 }
 
+// Guards against a limit that an outdated response or list ends, and against one that survives a
+// restart of the server.
+BOOST_AUTO_TEST_CASE(latest_request_limit_of_an_instance_is_kept) {
+  ReplicaTable table;
+  table.Upsert(MakeReplica("a", false));
+  const absl::Time now = absl::UnixEpoch() + absl::Hours(1);
+  BOOST_TEST(table.SetRequestLimit("a", {3.2, now}));
+  BOOST_TEST(!table.SetRequestLimit("a", {3.2, now + absl::Seconds(1)}));
+  BOOST_TEST(!table.SetRequestLimit("unknown", {3.2, now}));
+  const auto version = table.version();
+  BOOST_TEST(!table.SetRequestLimit("a", {std::nullopt, now - absl::Seconds(1)}));
+  BOOST_TEST(!table.Upsert(MakeReplica("a", false)));
+  BOOST_TEST(table.Find("a")->request_limit.per_second.value_or(0) == 3.2);
+  BOOST_TEST(table.version() == version);
+  BOOST_TEST(table.SetRequestLimit("a", {std::nullopt, now + absl::Seconds(1)}));
+  auto from_feed = MakeReplica("a", false);
+  from_feed.request_limit = {3.2, now};
+  BOOST_TEST(!table.Upsert(from_feed));
+  from_feed.request_limit = {2.5, now + absl::Seconds(2)};
+  BOOST_TEST(table.Upsert(from_feed));
+  auto restarted = MakeReplica("a", false);
+  restarted.started_unix_ms = 7;
+  table.Upsert(restarted);
+  BOOST_TEST(!table.Find("a")->request_limit.per_second.has_value());
+}
+
 // Guards against an address that stays assigned to a server that has moved or was removed.
 BOOST_AUTO_TEST_CASE(address_is_released_when_server_moves) {
   ReplicaTable table;
