--- a/tests/platform/fake_replica.cc
+++ b/tests/platform/fake_replica.cc
@@ -56,9 +56,16 @@
   return boost::json::serialize(entry);
 }
 
-HttpFields FakeReplica::SealedFields(const std::string& id, ReplicaBehavior behavior) const {
+HttpFields FakeReplica::CommonFields(const std::string& id) const {
   HttpFields fields;
-  fields.set("Attempt-Id", behavior == ReplicaBehavior::kWrongId ? "another" : id);
+  fields.set("Attempt-Id", id);
+  const std::string limit = options_.request_limit();
+  if (!limit.empty()) fields.set("Server-Limit", limit);
+  return fields;
+}
+
+HttpFields FakeReplica::SealedFields(const std::string& id, ReplicaBehavior behavior) const {
+  HttpFields fields = CommonFields(behavior == ReplicaBehavior::kWrongId ? "another" : id);
   if (behavior != ReplicaBehavior::kUnsealed) fields.set("Response-Seal", "seal-" + options_.id);
   fields.set("Instance-Load", "1,0,8");
   if (behavior == ReplicaBehavior::kLeaving) fields.set("Server-Leaving", "1");
@@ -100,9 +107,7 @@
 void FakeReplica::Prefill(const std::string& id, HttpReplyWriter& reply, Yield yield) {
   const std::string handle = absl::StrCat(options_.id, "-", next_cache_++);
   ledger_.waiting_caches[handle] = absl::Now();
-  HttpFields fields;
-  fields.set("Attempt-Id", id);
-  (void)reply.SendReply(200, fields,
+  (void)reply.SendReply(200, CommonFields(id),
                         absl::StrCat(R"({"kvHandle":")", handle, R"(","tokens":10,"version":1})"),
                         yield);
 }
@@ -173,13 +178,16 @@
     return;
   }
   const std::string id = Field(request, "Attempt-Id");
-  HttpFields not_run;
-  not_run.set("Attempt-Id", id);
+  HttpFields not_run = CommonFields(id);
   if (Field(request, "Expect-Instance") != options_.id) {
     (void)reply.SendReply(421, not_run, "", yield);
     return;
   }
   if (request.target() == "/order") return ChangePhase(request, reply, yield);
+  ReplicaArrival arrival{options_.id, id, absl::Now(), std::nullopt};
+  double limit = 0;
+  if (absl::SimpleAtod(options_.request_limit(), &limit)) arrival.limit = limit;
+  ledger_.arrivals.push_back(arrival);
   const bool prefill = Field(request, "Stage") == "prefill";
   if (!phase_.empty() && prefill != (phase_ == "prefill")) {
     (void)reply.SendReply(421, not_run, "", yield);
--- a/tests/platform/fake_replica.h
+++ b/tests/platform/fake_replica.h
@@ -59,6 +59,15 @@
   std::optional<absl::Time> cancelled;
 };
 
+/// One request for a backend server, whether it ran or not.
+struct ReplicaArrival {
+  std::string replica;
+  std::string request_id;
+  absl::Time at;
+  /// Requests per second that the server named in its answers at that time.
+  std::optional<double> limit;
+};
+
 /// One order to change the role of an engine.
 struct ReplicaOrder {
   std::string replica;
@@ -70,6 +79,7 @@
 
 /// What all replicas of a world have seen.
 struct ReplicaLedger {
+  std::vector<ReplicaArrival> arrivals;
   std::vector<ReplicaRun> runs;
   std::vector<ReplicaOrder> orders;
   /// KV caches that were neither fetched nor freed, with the time at which they were made.
@@ -92,6 +102,8 @@
   absl::Duration work = absl::Milliseconds(5);
   /// Chooses what to do with each request that is to run.
   std::function<ReplicaBehavior()> behavior = [] { return ReplicaBehavior::kNormal; };
+  /// Limit that the server names in all its answers, as header text; empty for none.
+  std::function<std::string()> request_limit = [] { return ""; };
 };
 
 class FakeReplica final : public HttpHandler {
@@ -115,6 +127,8 @@
                    HttpReplyWriter& reply, Cancellation& cancellation, Yield yield);
   void Stream(const HttpRequest& request, std::size_t run, ReplicaBehavior behavior,
               HttpReplyWriter& reply, Cancellation& cancellation, Yield yield);
+  // Fields of every answer.
+  HttpFields CommonFields(const std::string& id) const;
   HttpFields SealedFields(const std::string& id, ReplicaBehavior behavior) const;
   std::size_t Record(const HttpRequest& request);
 
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -32,6 +32,10 @@
   std::function<ReplicaBehavior(const std::string& id)> behavior = [](const std::string&) {
     return ReplicaBehavior::kNormal;
   };
+  /// Limit that the backend server with this id names, as header text; empty for none.
+  std::function<std::string(const std::string& id)> request_limit = [](const std::string&) {
+    return std::string();
+  };
   /// Time between two events of a stream.
   absl::Duration event_gap = absl::Milliseconds(15);
   bool with_configuration = true;
