Admit a request only from a level that covers it, whatever the share of the VM

Without a coordinator each VM admits from 1 / VMs of every bucket. A cost above that share of the burst was admitted from a full bucket, as if it were above the whole burst: 295 VMs admitted 1,554,945 tokens of a workspace at once, whose burst is 60,000 (quota_ledger/small_shares_do_not_admit_a_request_each, failed before). Change: only a cost above the whole burst is admitted into debt; a bucket whose share is too small accumulates up to the cost. The shares of all VMs then stay within rate and burst together. Ruled out: the shares themselves add up to 1 (shares_of_two_ledgers_stay_within_the_rate).

--- a/packages/dispatch/include/marigoldquay/dispatch/quota_ledger.h
+++ b/packages/dispatch/include/marigoldquay/dispatch/quota_ledger.h
@@ -46,8 +46,10 @@
   void SetShare(double share) { share_ = std::clamp(share, 0.0, 1.0); }
   double share() const { return share_; }
 
-  /// Takes the tokens if the level covers them. A cost above the whole burst is admitted from a
-  /// full bucket and leaves a negative level.
+  /// Takes the tokens if the level covers them. A cost above the whole burst is admitted when the
+  /// level reaches the burst, and leaves a negative level. A bucket whose share of the burst is
+  /// smaller than a cost accumulates up to that cost: otherwise each of many ledgers would admit a
+  /// request that only all of them together can cover.
   QuotaDecision Admit(const CatalogWorkspace& workspace, TokenCount tokens, absl::Time now);
   /// Takes the tokens of requests that another ledger admitted; the level may become negative.
   void Charge(const CatalogWorkspace& workspace, TokenCount tokens, absl::Time now);
@@ -68,9 +70,12 @@
     double highest_share = 0;
     // Level with which a whole bucket would start.
     double initial_level = 0;
+    // Largest level that a cost needed so far.
+    double largest_need = 0;
   };
 
-  double Burst(const CatalogWorkspace& workspace) const;
+  // Burst of all ledgers together.
+  double WholeBurst(const CatalogWorkspace& workspace) const;
   Bucket& Refill(const CatalogWorkspace& workspace, absl::Time now);
   void ApplyShare(Bucket& bucket) const;
 
--- a/packages/dispatch/src/quota_ledger.cc
+++ b/packages/dispatch/src/quota_ledger.cc
@@ -11,8 +11,8 @@
 
 }  // namespace
 
-double QuotaLedger::Burst(const CatalogWorkspace& workspace) const {
-  return share_ * static_cast<double>(workspace.quota.burst + tolerance_);
+double QuotaLedger::WholeBurst(const CatalogWorkspace& workspace) const {
+  return static_cast<double>(workspace.quota.burst + tolerance_);
 }
 
 QuotaLedger::Bucket& QuotaLedger::Refill(const CatalogWorkspace& workspace, absl::Time now) {
@@ -27,7 +27,8 @@
   bucket.level += rate * absl::ToDoubleSeconds(elapsed);
   bucket.updated = std::max(bucket.updated, now);
   ApplyShare(bucket);
-  bucket.level = std::min(bucket.level, Burst(workspace));
+  bucket.level =
+      std::min(bucket.level, std::max(share_ * WholeBurst(workspace), bucket.largest_need));
   return bucket;
 }
 
@@ -46,14 +47,15 @@
   if (!workspace.quota.limited()) return {true, absl::ZeroDuration()};
   Bucket& bucket = Refill(workspace, now);
   const double cost = static_cast<double>(tokens);
-  const double needed = std::min(cost, Burst(workspace));
-  if (needed > 0 && bucket.level >= needed) {
+  const double need = std::min(cost, WholeBurst(workspace));
+  bucket.largest_need = std::max(bucket.largest_need, need);
+  if (need > 0 && bucket.level >= need) {
     bucket.level -= cost;
     return {true, absl::ZeroDuration()};
   }
   const double rate = share_ * static_cast<double>(workspace.quota.rate);
   if (rate <= 0) return {false, kMaxRetryAfter};
-  const absl::Duration wait = absl::Seconds((needed - bucket.level) / rate);
+  const absl::Duration wait = absl::Seconds((need - bucket.level) / rate);
   return {false, std::min(wait, kMaxRetryAfter)};
 }
 
--- a/packages/dispatch/tests/quota_ledger_test.cc
+++ b/packages/dispatch/tests/quota_ledger_test.cc
@@ -5,6 +5,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <deque>
+#include <vector>
 
 namespace marigoldquay {
 namespace {
@@ -111,6 +112,22 @@
   BOOST_TEST(ledger.Level(workspace, full) == -200);
 }
 
+// Guards against a workspace that gets a request from every VM at once when the coordinator is
+// lost and the share of a VM in the burst is smaller than a request.
+BOOST_AUTO_TEST_CASE(small_shares_do_not_admit_a_request_each) {
+  const auto workspace = MakeWorkspace(30'000, 60'000);
+  constexpr TokenCount kCost = 5271;
+  std::vector<QuotaLedger> ledgers(295, QuotaLedger(1.0 / 295));
+  TokenCount tokens = 0;
+  for (int second = 0; second <= 8; ++second) {
+    for (auto& ledger : ledgers) {
+      const auto now = kStart + absl::Seconds(second);
+      if (ledger.Admit(workspace, kCost, now).admitted) tokens += kCost;
+    }
+    BOOST_TEST(tokens <= 30'000 * second + 60'000);
+  }
+}
+
 // Guards against exceeding the rate while two coordinators are active: their shares add up to 1.
 BOOST_AUTO_TEST_CASE(shares_of_two_ledgers_stay_within_the_rate) {
   rc::check("admitted tokens in every window stay within rate x window + burst", [] {
