--- a/apps/marigoldquayd/platform_node.cc
+++ b/apps/marigoldquayd/platform_node.cc
@@ -120,7 +120,10 @@
         coordinator_(io_, clock_, view_, presence_, self_,
                      {[this] { return std::max(StoreContact(), link_.feed_time()); },
                       [this] { return link_.confirmed_coordinator(); },
-                      [this](const BackendServerId& id) { OnLeavingServer(id); }}),
+                      [this](const BackendServerId& id) { OnLeavingServer(id); },
+                      [this](const BackendServerId& id, const RequestLimit& limit) {
+                        OnRequestLimit(id, limit);
+                      }}),
         link_(io_, clock_, view_, presence_, *this,
               {[this] { return Self(); }, [this] { return StoreContact(); },
                [this](absl::string_view vm) { return coordinator_.IsReporting(vm); }}),
@@ -239,13 +242,15 @@
     OnReplicaChange();
   }
 
-  // A backend server has stated a request limit to this VM.
+  // A backend server has stated a request limit, here or to another VM.
   void OnRequestLimit(const BackendServerId& id, const RequestLimit& limit) {
     if (!view_.replicas().SetRequestLimit(id, limit)) return;
     LogFields fields;
     fields.Add("backend_server", id)
         .Add("per_second", limit.per_second ? absl::StrCat(*limit.per_second) : "none");
     Log().Event("backend_server_limit", fields);
+    link_.OnRequestLimit(id);
+    OnReplicaChange();
   }
 
   void OnCatalogChange() {
--- a/packages/dispatch/include/marigoldquay/dispatch/quota_ledger.h
+++ b/packages/dispatch/include/marigoldquay/dispatch/quota_ledger.h
@@ -1,16 +1,15 @@
-// Token buckets of the workspaces, as one VM accounts for them. Several ledgers together
-// enforce the rate and burst of a workspace as long as their shares add up to 1.
+// Token buckets of quota accounts, as one VM keeps them. Several ledgers together enforce the rate
+// and burst of an account as long as their shares add up to 1.
 #ifndef MARIGOLDQUAY_DISPATCH_QUOTA_LEDGER_H_
 #define MARIGOLDQUAY_DISPATCH_QUOTA_LEDGER_H_
 
 #include <algorithm>
-#include <string>
+#include <span>
 
 #include "absl/container/flat_hash_map.h"
-#include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "marigoldquay/core/types.h"
-#include "marigoldquay/routing/catalog.h"
+#include "marigoldquay/dispatch/quota_account.h"
 
 namespace marigoldquay {
 
@@ -50,16 +49,20 @@
   /// level reaches the burst, and leaves a negative level. A bucket whose share of the burst is
   /// smaller than a cost accumulates up to that cost: otherwise each of many ledgers would admit a
   /// request that only all of them together can cover.
-  QuotaDecision Admit(const CatalogWorkspace& workspace, TokenCount tokens, absl::Time now);
+  QuotaDecision Admit(const AccountQuota& quota, TokenCount tokens, absl::Time now);
+  /// Whether Admit would take the tokens.
+  bool CanAdmit(const AccountQuota& quota, TokenCount tokens, absl::Time now);
   /// Takes the tokens of requests that another ledger admitted; the level may become negative.
-  void Charge(const CatalogWorkspace& workspace, TokenCount tokens, absl::Time now);
+  void Charge(const AccountQuota& quota, TokenCount tokens, absl::Time now);
   /// Caps the initial level of later share increases at `fleet_level`, an upper bound of the level
   /// summed over all ledgers.
-  void CapInitialLevel(const CatalogWorkspace& workspace, TokenCount fleet_level, absl::Time now);
+  void CapInitialLevel(const AccountQuota& quota, TokenCount fleet_level, absl::Time now);
   /// Discards all levels; for use when other ledgers have granted tokens in the meantime.
   void Reset() { buckets_.clear(); }
-  /// Tokens available; negative after a charge or cost above the level. 0 for unlimited workspaces.
-  TokenCount Level(const CatalogWorkspace& workspace, absl::Time now);
+  /// Discards the levels of backend servers that are not in `ids`.
+  void RetainServers(std::span<const BackendServerId> ids);
+  /// Tokens available; negative after a charge or cost above the level. 0 for unlimited accounts.
+  TokenCount Level(const AccountQuota& quota, absl::Time now);
 
  private:
   struct Bucket {
@@ -75,14 +78,16 @@
   };
 
   // Burst of all ledgers together.
-  double WholeBurst(const CatalogWorkspace& workspace) const;
-  Bucket& Refill(const CatalogWorkspace& workspace, absl::Time now);
+  double WholeBurst(const AccountQuota& quota) const;
+  // Level that the bucket needs to admit the cost.
+  double Need(const AccountQuota& quota, TokenCount tokens) const;
+  Bucket& Refill(const AccountQuota& quota, absl::Time now);
   void ApplyShare(Bucket& bucket) const;
 
   double share_;
   TokenCount tolerance_ = 0;
-  // One per workspace of the catalogs that were in force; bounded by their number.
-  absl::flat_hash_map<WorkspaceId, Bucket> buckets_;
+  // Bounded by the workspaces of the catalogs that were in force and by RetainServers.
+  absl::flat_hash_map<QuotaAccount, Bucket> buckets_;
 };
 
 }  // namespace marigoldquay
--- a/packages/dispatch/include/marigoldquay/dispatch/stream_scheduler.h
+++ b/packages/dispatch/include/marigoldquay/dispatch/stream_scheduler.h
@@ -20,6 +20,7 @@
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "marigoldquay/core/types.h"
+#include "marigoldquay/dispatch/quota_ledger.h"
 #include "marigoldquay/dispatch/role_planner.h"
 #include "marigoldquay/routing/catalog.h"
 #include "marigoldquay/routing/replica_table.h"
@@ -84,6 +85,8 @@
   /// Fraction of every engine that this scheduler may use; below 1 when several schedulers are
   /// active.
   double share = 1.0;
+  /// Charged for the requests to engines that state a request limit; limits are ignored when null.
+  QuotaLedger* request_quota = nullptr;
 };
 
 /// Places the requests of one service. Deterministic: all inputs are arguments. Not thread-safe.
@@ -191,6 +194,13 @@
   // Whether several streams of the engine are overdue and no stream has made progress since.
   bool IsStalled(const Engine& decode, absl::Time now) const;
   bool IsUsable(const Engine& engine, const StreamDemand& demand, absl::Time now) const;
+  // Whether the request limit of the engine allows another request now.
+  bool AcceptsRequest(const Engine& engine, absl::Time now) const;
+  // Charges a request to the limit of the engine.
+  void ChargeRequest(const Engine& engine, absl::Time now) const;
+  // Time until the request limits of the decode engines allow a demand behind all waiting ones;
+  // zero when a usable engine has no limit.
+  absl::Duration WaitingRequestTime(const StreamDemand& demand, absl::Time now) const;
   bool HasCapacity(Engine& decode, const StreamDemand& demand, Urgency urgency,
                    absl::Time now) const;
   // Peak number of tokens that the engine will hold if it accepts the demand.
@@ -216,7 +226,9 @@
                                              absl::Time now);
   StreamDecision Grant(std::uint64_t ticket, const StreamDemand& demand, const Candidate& candidate,
                        absl::Time now);
-  StreamDecision Refuse(std::uint64_t ticket, std::string reason, absl::Time now) const;
+  // `min_wait` is the least time after which the caller may retry.
+  StreamDecision Refuse(std::uint64_t ticket, std::string reason, absl::Time now,
+                        absl::Duration min_wait = absl::ZeroDuration()) const;
   absl::Duration WaitingPrefillTime() const;
   void UpdateDecodeSpeed(Engine& engine, const PlacedStream& placed, absl::Time now) const;
   void UpdatePrefillSpeed(Engine& engine, const PlacedStream& placed, absl::Time now);
--- a/packages/dispatch/src/quota_ledger.cc
+++ b/packages/dispatch/src/quota_ledger.cc
@@ -1,8 +1,11 @@
-// Refill and accounting of the token buckets of workspaces.
+// Refill and accounting of the token buckets of quota accounts.
 #include "marigoldquay/dispatch/quota_ledger.h"
 
 #include <algorithm>
 
+#include "absl/container/flat_hash_set.h"
+#include "absl/strings/string_view.h"
+
 namespace marigoldquay {
 namespace {
 
@@ -11,24 +14,28 @@
 
 }  // namespace
 
-double QuotaLedger::WholeBurst(const CatalogWorkspace& workspace) const {
-  return static_cast<double>(workspace.quota.burst + tolerance_);
+double QuotaLedger::WholeBurst(const AccountQuota& quota) const {
+  const bool workspace = quota.account.kind == QuotaAccount::Kind::kWorkspace;
+  return static_cast<double>(quota.burst + (workspace ? tolerance_ : 0));
+}
+
+double QuotaLedger::Need(const AccountQuota& quota, TokenCount tokens) const {
+  return std::min(static_cast<double>(tokens), WholeBurst(quota));
 }
 
-QuotaLedger::Bucket& QuotaLedger::Refill(const CatalogWorkspace& workspace, absl::Time now) {
-  const auto [found, added] = buckets_.try_emplace(workspace.name);
+QuotaLedger::Bucket& QuotaLedger::Refill(const AccountQuota& quota, absl::Time now) {
+  const auto [found, added] = buckets_.try_emplace(quota.account);
   Bucket& bucket = found->second;
   if (added) {
     bucket.updated = now;
-    bucket.initial_level = kInitialFillFraction * static_cast<double>(workspace.quota.burst);
+    bucket.initial_level = kInitialFillFraction * static_cast<double>(quota.burst);
   }
   const absl::Duration elapsed = std::max(now - bucket.updated, absl::ZeroDuration());
-  const double rate = bucket.share * static_cast<double>(workspace.quota.rate);
+  const double rate = bucket.share * static_cast<double>(quota.rate);
   bucket.level += rate * absl::ToDoubleSeconds(elapsed);
   bucket.updated = std::max(bucket.updated, now);
   ApplyShare(bucket);
-  bucket.level =
-      std::min(bucket.level, std::max(share_ * WholeBurst(workspace), bucket.largest_need));
+  bucket.level = std::min(bucket.level, std::max(share_ * WholeBurst(quota), bucket.largest_need));
   return bucket;
 }
 
@@ -42,38 +49,52 @@
   bucket.share = share_;
 }
 
-QuotaDecision QuotaLedger::Admit(const CatalogWorkspace& workspace, TokenCount tokens,
-                                 absl::Time now) {
-  if (!workspace.quota.limited()) return {true, absl::ZeroDuration()};
-  Bucket& bucket = Refill(workspace, now);
-  const double cost = static_cast<double>(tokens);
-  const double need = std::min(cost, WholeBurst(workspace));
+QuotaDecision QuotaLedger::Admit(const AccountQuota& quota, TokenCount tokens, absl::Time now) {
+  if (!quota.limited()) return {true, absl::ZeroDuration()};
+  Bucket& bucket = Refill(quota, now);
+  const double need = Need(quota, tokens);
   bucket.largest_need = std::max(bucket.largest_need, need);
   if (need > 0 && bucket.level >= need) {
-    bucket.level -= cost;
+    bucket.level -= static_cast<double>(tokens);
     return {true, absl::ZeroDuration()};
   }
-  const double rate = share_ * static_cast<double>(workspace.quota.rate);
+  const double rate = share_ * static_cast<double>(quota.rate);
   if (rate <= 0) return {false, kMaxRetryAfter};
   const absl::Duration wait = absl::Seconds((need - bucket.level) / rate);
   return {false, std::min(wait, kMaxRetryAfter)};
 }
 
-void QuotaLedger::Charge(const CatalogWorkspace& workspace, TokenCount tokens, absl::Time now) {
-  if (!workspace.quota.limited()) return;
-  Refill(workspace, now).level -= static_cast<double>(tokens);
+bool QuotaLedger::CanAdmit(const AccountQuota& quota, TokenCount tokens, absl::Time now) {
+  if (!quota.limited()) return true;
+  Bucket& bucket = Refill(quota, now);
+  const double need = Need(quota, tokens);
+  bucket.largest_need = std::max(bucket.largest_need, need);
+  return need > 0 && bucket.level >= need;
+}
+
+void QuotaLedger::Charge(const AccountQuota& quota, TokenCount tokens, absl::Time now) {
+  if (!quota.limited()) return;
+  Refill(quota, now).level -= static_cast<double>(tokens);
 }
 
-void QuotaLedger::CapInitialLevel(const CatalogWorkspace& workspace, TokenCount fleet_level,
+void QuotaLedger::CapInitialLevel(const AccountQuota& quota, TokenCount fleet_level,
                                   absl::Time now) {
-  if (!workspace.quota.limited()) return;
-  Bucket& bucket = Refill(workspace, now);
+  if (!quota.limited()) return;
+  Bucket& bucket = Refill(quota, now);
   bucket.initial_level = std::min(bucket.initial_level, static_cast<double>(fleet_level));
 }
 
-TokenCount QuotaLedger::Level(const CatalogWorkspace& workspace, absl::Time now) {
-  if (!workspace.quota.limited()) return 0;
-  return static_cast<TokenCount>(Refill(workspace, now).level);
+void QuotaLedger::RetainServers(std::span<const BackendServerId> ids) {
+  const absl::flat_hash_set<absl::string_view> kept(ids.begin(), ids.end());
+  absl::erase_if(buckets_, [&](const auto& entry) {
+    const QuotaAccount& account = entry.first;
+    return account.kind == QuotaAccount::Kind::kBackendServer && !kept.contains(account.name);
+  });
+}
+
+TokenCount QuotaLedger::Level(const AccountQuota& quota, absl::Time now) {
+  if (!quota.limited()) return 0;
+  return static_cast<TokenCount>(Refill(quota, now).level);
 }
 
 }  // namespace marigoldquay
--- a/packages/dispatch/src/replica_balancer.cc
+++ b/packages/dispatch/src/replica_balancer.cc
@@ -15,6 +15,8 @@
 constexpr absl::Duration kReportedLoadLifetime = absl::Milliseconds(200);
 // Cost of using another availability zone: the network round trip and the price of traffic.
 constexpr double kCrossZonePenaltyMs = 4.0;
+// Cost of a replica that states a request limit: others are used first while they are not busier.
+constexpr double kLimitedPenaltyMs = 10.0;
 // Cost of a request that certainly fails: about the time of a second attempt.
 constexpr double kFailurePenaltyMs = 200.0;
 // Assumed service time before the first complete response of any replica.
@@ -60,6 +62,7 @@
   // The last term spreads requests over the replicas that have free slots.
   double expected = service_ms * (1 + queued / slots + 0.2 * load / slots);
   if (replica.availability_zone != availability_zone_) expected += kCrossZonePenaltyMs;
+  if (replica.request_limit.per_second) expected += kLimitedPenaltyMs;
   return expected + kFailurePenaltyMs * health_.FailureRate(replica.id);
 }
 
--- a/packages/dispatch/src/stream_scheduler.cc
+++ b/packages/dispatch/src/stream_scheduler.cc
@@ -111,6 +111,7 @@
   for (auto& entry : engines_) {
     Engine& engine = entry.second;
     if (engine.replica.role != EngineRole::kPrefill || !IsUsable(engine, demand, now)) continue;
+    if (!AcceptsRequest(engine, now)) continue;
     if (urgency == Urgency::kLate && engine.prefill_busy_until > now + kMaxLateBacklog) continue;
     const double prefill_ms = PrefillMs(engine, 1.0, demand, now);
     const auto existing = std::find_if(
@@ -158,6 +159,7 @@
   std::vector<Candidate> candidates;
   for (auto& [decode_id, decode] : engines_) {
     if (decode.replica.role != EngineRole::kDecode || !IsUsable(decode, demand, now)) continue;
+    if (!AcceptsRequest(decode, now)) continue;
     const auto best = BestPrefillOption(decode, prefill_options, demand, urgency, now);
     if (best) candidates.push_back(*best);
   }
@@ -214,6 +216,8 @@
     prefill_ms_placed_ +=
         candidate.prefill->prefill_ms_per_token * static_cast<double>(demand.prompt_tokens);
   }
+  if (candidate.prefill != nullptr) ChargeRequest(*candidate.prefill, now);
+  ChargeRequest(*candidate.decode, now);
   candidate.decode->reserved += Footprint(demand);
   ++candidate.decode->running;
   candidate.decode->streams.push_back(ticket);
@@ -247,8 +251,8 @@
   return Milliseconds(static_cast<double>(tokens) / tokens_per_ms);
 }
 
-StreamDecision StreamScheduler::Refuse(std::uint64_t ticket, std::string reason,
-                                       absl::Time now) const {
+StreamDecision StreamScheduler::Refuse(std::uint64_t ticket, std::string reason, absl::Time now,
+                                       absl::Duration min_wait) const {
   StreamDecision decision;
   decision.verdict = StreamVerdict::kRefused;
   decision.ticket = ticket;
@@ -257,6 +261,7 @@
   for (const auto& [id, engine] : engines_) soonest = std::min(soonest, engine.prefill_busy_until);
   absl::Duration wait = kMinRetryAfter + std::max(soonest - now, absl::ZeroDuration());
   if (!waiting_.empty()) wait += WaitingPrefillTime();
+  wait = std::max(wait, min_wait);
   // Spreads the retries of callers that are refused together, by an amount derived from the ticket.
   const double spread = static_cast<double>(ticket % 8) / 8.0;
   decision.retry_after = std::min(wait, absl::Seconds(5)) * (1.0 + 0.5 * spread);
@@ -275,9 +280,9 @@
   });
   if (!has_decode) return Refuse(ticket, "no usable decode engine", now);
   if (waiting_.size() >= kMaxWaiting) return Refuse(ticket, "wait queue is full", now);
-  if (now + WaitingPrefillTime() + kFirstDecodeStep + kCallerDeadlineMargin >
-      demand.caller_deadline) {
-    return Refuse(ticket, "cannot be served before the caller gives up", now);
+  const absl::Duration wait = std::max(WaitingPrefillTime(), WaitingRequestTime(demand, now));
+  if (now + wait + kFirstDecodeStep + kCallerDeadlineMargin > demand.caller_deadline) {
+    return Refuse(ticket, "cannot be served before the caller gives up", now, wait);
   }
   waiting_.emplace(ticket, demand);
   StreamDecision decision;
--- a/packages/dispatch/src/stream_scheduler_engines.cc
+++ b/packages/dispatch/src/stream_scheduler_engines.cc
@@ -102,6 +102,33 @@
   return std::find(excluded.begin(), excluded.end(), engine.replica.id) == excluded.end();
 }
 
+bool StreamScheduler::AcceptsRequest(const Engine& engine, absl::Time now) const {
+  if (options_.request_quota == nullptr || !engine.replica.request_limit.per_second) return true;
+  return options_.request_quota->CanAdmit(QuotaOf(engine.replica), kRequestCost, now);
+}
+
+void StreamScheduler::ChargeRequest(const Engine& engine, absl::Time now) const {
+  if (options_.request_quota == nullptr || !engine.replica.request_limit.per_second) return;
+  options_.request_quota->Charge(QuotaOf(engine.replica), kRequestCost, now);
+}
+
+absl::Duration StreamScheduler::WaitingRequestTime(const StreamDemand& demand,
+                                                   absl::Time now) const {
+  if (options_.request_quota == nullptr) return absl::ZeroDuration();
+  double rate = 0;
+  double level = 0;
+  for (const auto& [id, engine] : engines_) {
+    if (engine.replica.role != EngineRole::kDecode || !IsUsable(engine, demand, now)) continue;
+    const AccountQuota quota = QuotaOf(engine.replica);
+    if (!quota.limited()) return absl::ZeroDuration();
+    rate += options_.share * static_cast<double>(quota.rate);
+    level += static_cast<double>(options_.request_quota->Level(quota, now));
+  }
+  if (rate <= 0) return absl::ZeroDuration();
+  const double cost = static_cast<double>(kRequestCost) * static_cast<double>(waiting_.size() + 1);
+  return absl::Seconds(std::max(0.0, cost - level) / rate);
+}
+
 void StreamScheduler::UpdateDecodeSpeed(Engine& engine, const PlacedStream& placed,
                                         absl::Time now) const {
   if (placed.demand.output_tokens <= 0) return;
--- a/packages/dispatch/tests/quota_ledger_test.cc
+++ b/packages/dispatch/tests/quota_ledger_test.cc
@@ -10,11 +10,11 @@
 namespace marigoldquay {
 namespace {
 
-CatalogWorkspace MakeWorkspace(TokenCount rate, TokenCount burst) {
+AccountQuota MakeWorkspace(TokenCount rate, TokenCount burst) {
   CatalogWorkspace workspace;
   workspace.name = "w";
   workspace.quota = {rate, burst, 1};
-  return workspace;
+  return QuotaOf(workspace);
 }
 
 const absl::Time kStart = absl::UnixEpoch() + absl::Hours(1);
--- a/packages/fleet/include/marigoldquay/fleet/coordinator.h
+++ b/packages/fleet/include/marigoldquay/fleet/coordinator.h
@@ -42,6 +42,8 @@
   std::function<std::optional<FleetMember>()> followed_member;
   /// Called when a VM reports that a backend server is leaving.
   std::function<void(const BackendServerId&)> on_leaving_server;
+  /// Called with a request limit that a backend server has stated to a VM.
+  std::function<void(const BackendServerId&, const RequestLimit&)> on_request_limit;
 };
 
 /// Accepts sessions of VMs, schedules their requests and broadcasts the fleet state. Not
@@ -111,7 +113,7 @@
   void OnPlaceRequest(Session& session, std::uint64_t call_id,
                       const protocol::PlaceStreamRequestT& request);
   void OnProgress(Session& session, const protocol::StreamProgressMessageT& message);
-  // Charges the tokens of a request to its workspace; fills `refusal` and returns false when they
+  // Charges the tokens of a request to its account; fills `refusal` and returns false when they
   // exceed the rate.
   bool ChargeQuota(const protocol::PlaceStreamRequestT& request,
                    protocol::PlaceStreamReplyT& refusal);
@@ -128,6 +130,8 @@
   protocol::FleetStateT BuildState();
   // Whether the configuration is sent to VMs with an older version; otherwise they read the store.
   bool SendsCatalog() const;
+  // Adds the level of the account unless the VMs may assume it.
+  void AddBalance(const AccountQuota& quota, protocol::FleetStateT& state);
   void AddMembers(std::uint64_t since, protocol::FleetStateT& state) const;
   void AddReplicas(std::uint64_t since, protocol::FleetStateT& state) const;
   void AddCatalog(std::uint64_t since, protocol::FleetStateT& state) const;
--- a/packages/fleet/include/marigoldquay/fleet/coordinator_link.h
+++ b/packages/fleet/include/marigoldquay/fleet/coordinator_link.h
@@ -62,6 +62,8 @@
   void OnEnd(const StreamPlacement& placement, StreamEnd end) override;
   QuotaDecision Admit(const CatalogWorkspace& workspace, TokenCount tokens,
                       Cancellation& cancellation, Yield yield) override;
+  QuotaDecision AdmitRequest(const Replica& server, Cancellation& cancellation,
+                             Yield yield) override;
 
   /// Updates the local schedulers after a change of the backend servers or the configuration.
   void OnClusterChange();
@@ -74,6 +76,9 @@
   /// Records that a backend server has announced its shutdown to this VM; the next report forwards
   /// it to the other VMs.
   void OnLeavingServer(const BackendServerId& server) { leaving_servers_.insert(server); }
+  /// Reports the request limit that a backend server has stated to this VM, so that it also holds
+  /// for the other VMs.
+  void OnRequestLimit(const BackendServerId& server);
 
   bool connected() const { return connection_ != nullptr; }
   bool FeedIsFresh() const override;
@@ -172,11 +177,17 @@
   double LocalShare() const;
   // Tokens that this VM may admit without a request to the coordinator until the next state
   // message.
-  TokenCount LocalAllowance(const CatalogWorkspace& workspace) const;
-  std::optional<QuotaDecision> RequestTokens(const CatalogWorkspace& workspace, TokenCount tokens,
+  TokenCount LocalAllowance(const AccountQuota& quota) const;
+  // Admits the tokens within the last known balance, or requests them; nullopt when the coordinator
+  // does not reply.
+  std::optional<QuotaDecision> AdmitByCoordinator(const AccountQuota& quota, TokenCount tokens,
+                                                  Cancellation& cancellation, Yield yield);
+  std::optional<QuotaDecision> RequestTokens(const AccountQuota& quota, TokenCount tokens,
                                              Cancellation& cancellation, Yield yield);
   bool CoordinatorResponsive() const;
-  QuotaDecision AdmitLocally(const CatalogWorkspace& workspace, TokenCount tokens);
+  QuotaDecision AdmitLocally(const AccountQuota& quota, TokenCount tokens);
+  // Adds the request limits to report: all known ones in the first report of a session.
+  void AddRequestLimits(protocol::FleetReportT& report, bool first);
   // Switches to local decisions; the local ledger continues from the last known balances.
   void MarkCoordinatorUnresponsive();
 
@@ -230,17 +241,19 @@
   absl::Time unresponsive_since_;
   // Last session in which a report was sent; the first report of a session carries the balances.
   std::uint64_t reported_session_ = 0;
-  // Balances last sent by a coordinator; workspaces that it omits have at least half of their
+  // Balances last sent by a coordinator; accounts that it omits have at least half of their
   // burst. Kept after the session, for the next coordinator and for the local ledger.
-  std::map<WorkspaceId, TokenCount> balances_;
+  std::map<QuotaAccount, TokenCount> balances_;
   // Tokens admitted locally and not yet reported to the coordinator.
-  std::map<WorkspaceId, TokenCount> spent_since_report_;
+  std::map<QuotaAccount, TokenCount> spent_since_report_;
   std::set<BackendServerId> leaving_servers_;
+  // Servers whose request limit has to be reported.
+  std::set<BackendServerId> servers_with_new_limit_;
   bool needs_servers_ = false;
   // Tokens admitted locally that are not yet in balances_.
-  std::map<WorkspaceId, TokenCount> spent_since_state_;
-  // Workspaces that the coordinator recently refused, and when the refusal expires.
-  std::map<WorkspaceId, absl::Time> refused_until_;
+  std::map<QuotaAccount, TokenCount> spent_since_state_;
+  // Accounts that the coordinator recently refused, and when the refusal expires.
+  std::map<QuotaAccount, absl::Time> refused_until_;
   QuotaLedger local_quota_;
   std::map<std::string, StreamScheduler> local_schedulers_;
 };
--- a/packages/fleet/src/coordinator.cc
+++ b/packages/fleet/src/coordinator.cc
@@ -12,7 +12,9 @@
 namespace marigoldquay {
 namespace {
 
+using internal::AccountFromWire;
 using internal::DemandFromWire;
+using internal::FindQuota;
 using internal::FromWire;
 using internal::ToWire;
 
@@ -173,10 +175,9 @@
     quota_.Reset();
     quota_.SetShare(0);
   }
-  const auto catalog = view_.catalog();
   for (const auto& entry : report.levels) {
-    const auto* workspace = catalog ? catalog->FindWorkspace(entry->workspace) : nullptr;
-    if (workspace != nullptr) quota_.CapInitialLevel(*workspace, entry->tokens, clock_.Now());
+    const auto quota = FindQuota(view_, AccountFromWire(*entry));
+    if (quota) quota_.CapInitialLevel(*quota, entry->tokens, clock_.Now());
   }
   session.reported = true;
   session.sent_catalog_version = report.catalog_version;
@@ -198,21 +199,24 @@
   session.member = FromWire(*report.sender);
   session.last_store_contact = now - absl::Milliseconds(report.store_age_ms);
   reporting_members_.Set(session.member);
+  // Levels and charges below refer to these limits.
+  for (const auto& limit : report.request_limits) {
+    hooks_.on_request_limit(limit->server, FromWire(*limit, now));
+  }
   if (!session.reported) OnFirstReport(session, report);
   if (report.needs_servers) session.sent_replicas_version = 0;
   for (const auto& server : report.leaving_servers) hooks_.on_leaving_server(server);
-  const auto catalog = view_.catalog();
-  if (!catalog) return;
   for (const auto& entry : report.spent) {
-    const auto* workspace = catalog->FindWorkspace(entry->workspace);
-    if (workspace != nullptr) quota_.Charge(*workspace, entry->tokens, clock_.Now());
+    const auto quota = FindQuota(view_, AccountFromWire(*entry));
+    if (quota) quota_.Charge(*quota, entry->tokens, now);
   }
 }
 
 StreamScheduler& Coordinator::SchedulerFor(const std::string& service) {
   const auto found = schedulers_.find(service);
   if (found != schedulers_.end()) return found->second;
-  auto& scheduler = schedulers_[service];
+  const StreamSchedulerOptions options{.share = 1.0, .request_quota = &quota_};
+  auto& scheduler = schedulers_.try_emplace(service, options).first->second;
   const auto catalog = view_.catalog();
   const auto* configured = catalog ? catalog->FindService(service) : nullptr;
   if (configured != nullptr && configured->engine) {
@@ -225,6 +229,7 @@
   const auto catalog = view_.catalog();
   if (!catalog) return;
   TriggerStateBroadcast();
+  quota_.RetainServers(view_.replicas().ids());
   for (auto& [service, scheduler] : schedulers_) {
     const auto* configured = catalog->FindService(service);
     if (configured == nullptr || !configured->engine) continue;
@@ -234,13 +239,17 @@
 
 bool Coordinator::ChargeQuota(const protocol::PlaceStreamRequestT& request,
                               protocol::PlaceStreamReplyT& refusal) {
-  const auto catalog = view_.catalog();
-  const auto* workspace = catalog ? catalog->FindWorkspace(request.workspace) : nullptr;
-  if (workspace == nullptr || request.charge <= 0) return true;
-  const auto decision = quota_.Admit(*workspace, request.charge, clock_.Now());
+  const bool server = !request.charged_server.empty();
+  const QuotaAccount account =
+      server ? QuotaAccount{QuotaAccount::Kind::kBackendServer, request.charged_server}
+             : QuotaAccount{QuotaAccount::Kind::kWorkspace, request.workspace};
+  const auto quota = FindQuota(view_, account);
+  if (!quota || request.charge <= 0) return true;
+  const auto decision = quota_.Admit(*quota, request.charge, clock_.Now());
   if (decision.admitted) return true;
   refusal.status = protocol::PlaceStreamStatus::OverQuota;
-  refusal.reason = "rate limit of the workspace exceeded";
+  refusal.reason = server ? "request limit of the backend server reached"
+                          : "rate limit of the workspace exceeded";
   refusal.provisional = quota_.share() < kMinFullShare;
   refusal.retry_after_ms =
       static_cast<std::uint32_t>(absl::ToInt64Milliseconds(decision.retry_after));
--- a/packages/fleet/src/coordinator_link.cc
+++ b/packages/fleet/src/coordinator_link.cc
@@ -11,6 +11,7 @@
 namespace marigoldquay {
 namespace {
 
+using internal::AccountFromWire;
 using internal::FromWire;
 using internal::ToWire;
 
@@ -292,7 +293,9 @@
 void CoordinatorLink::ApplyFeed(const protocol::FleetStateT& state) {
   if (FeedsOthers()) return;
   ReplicaChanges changes;
-  for (const auto& entry : state.backend_servers) changes.updated.push_back(FromWire(*entry));
+  for (const auto& entry : state.backend_servers) {
+    changes.updated.push_back(FromWire(*entry, clock_.Now()));
+  }
   changes.removed = state.removed_servers;
   feed_.OnReplicaChanges(changes, state.whole_servers);
   feed_.OnCatalog(state.catalog_version, std::string(state.catalog.begin(), state.catalog.end()));
@@ -315,7 +318,7 @@
   member_count_ = state.member_count;
   report_interval_ = absl::Milliseconds(std::max<std::uint32_t>(state.interval_ms, 50));
   balances_.clear();
-  for (const auto& entry : state.balances) balances_[entry->workspace] = entry->tokens;
+  for (const auto& entry : state.balances) balances_[AccountFromWire(*entry)] = entry->tokens;
   // Tokens admitted since the last report are not in these balances yet.
   spent_since_state_ = spent_since_report_;
   ApplyFeed(state);
@@ -367,25 +370,35 @@
   report.needs_servers = std::exchange(needs_servers_, false);
   const auto catalog = view_.catalog();
   report.catalog_version = catalog ? catalog->version() : 0;
-  for (const auto& [workspace, tokens] : spent_since_report_) {
-    auto entry = std::make_unique<protocol::WorkspaceTokensT>();
-    entry->workspace = workspace;
-    entry->tokens = tokens;
-    report.spent.push_back(std::move(entry));
+  for (const auto& [account, tokens] : spent_since_report_) {
+    report.spent.push_back(ToWire(account, tokens));
   }
   spent_since_report_.clear();
-  if (std::exchange(reported_session_, session_) != session_) {
+  const bool first = std::exchange(reported_session_, session_) != session_;
+  AddRequestLimits(report, first);
+  if (first) {
     report.member_count = static_cast<std::uint32_t>(member_count_);
-    for (const auto& [workspace, tokens] : balances_) {
-      auto entry = std::make_unique<protocol::WorkspaceTokensT>();
-      entry->workspace = workspace;
-      entry->tokens = tokens;
-      report.levels.push_back(std::move(entry));
+    for (const auto& [account, tokens] : balances_) {
+      report.levels.push_back(ToWire(account, tokens));
     }
   }
   connection_->Send(protocol::MessageType::FleetReport, 0, report);
 }
 
+void CoordinatorLink::AddRequestLimits(protocol::FleetReportT& report, bool first) {
+  for (const Replica& server : view_.replicas().FindWithStatedLimit()) {
+    if (!first && !servers_with_new_limit_.contains(server.id)) continue;
+    report.request_limits.push_back(ToWire(server.id, server.request_limit, clock_.Now()));
+  }
+  servers_with_new_limit_.clear();
+}
+
+void CoordinatorLink::OnRequestLimit(const BackendServerId& server) {
+  servers_with_new_limit_.insert(server);
+  // Other VMs send requests to the server meanwhile.
+  SendReport();
+}
+
 bool CoordinatorLink::ReportIsDue() const {
   if (!spent_since_report_.empty() || !leaving_servers_.empty() || needs_servers_) return true;
   const absl::Time now = clock_.Now();
--- a/packages/fleet/src/coordinator_link_placing.cc
+++ b/packages/fleet/src/coordinator_link_placing.cc
@@ -20,10 +20,11 @@
 constexpr absl::Duration kFailoverPollInterval = absl::Milliseconds(20);
 // Delay before a retry with a coordinator that does not know all VMs yet.
 constexpr absl::Duration kProvisionalRetryDelay = absl::Milliseconds(100);
-// The coordinator omits the balance of workspaces with at least burst / kOmittedLevelDivisor
-// tokens.
+// The coordinator omits the balance of accounts with at least burst / kOmittedLevelDivisor tokens.
 constexpr TokenCount kOmittedLevelDivisor = 2;
-// Time for which a refusal also applies to subsequent requests of the workspace.
+// A request can go to another backend server instead of waiting longer for the coordinator.
+constexpr absl::Duration kRequestLimitReplyTimeout = absl::Milliseconds(60);
+// Time for which a refusal also applies to subsequent requests of the account.
 constexpr absl::Duration kRefusalCacheTime = absl::Milliseconds(100);
 // Without a coordinator a VM does not queue requests, as it cannot see the load of the others.
 constexpr absl::Duration kLocalRetryAfter = absl::Milliseconds(500);
@@ -66,18 +67,17 @@
   unresponsive_since_ = clock_.Now();
   local_quota_.Reset();
   local_quota_.SetShare(0);
-  const auto catalog = view_.catalog();
-  for (const auto& [name, level] : balances_) {
-    const auto* workspace = catalog ? catalog->FindWorkspace(name) : nullptr;
-    if (workspace != nullptr) local_quota_.CapInitialLevel(*workspace, level, clock_.Now());
+  for (const auto& [account, level] : balances_) {
+    const auto quota = internal::FindQuota(view_, account);
+    if (quota) local_quota_.CapInitialLevel(*quota, level, clock_.Now());
   }
 }
 
-QuotaDecision CoordinatorLink::AdmitLocally(const CatalogWorkspace& workspace, TokenCount tokens) {
+QuotaDecision CoordinatorLink::AdmitLocally(const AccountQuota& quota, TokenCount tokens) {
   local_quota_.SetShare(LocalShare());
-  const auto decision = local_quota_.Admit(workspace, tokens, clock_.Now());
+  const auto decision = local_quota_.Admit(quota, tokens, clock_.Now());
   // If the coordinator is only slow, the next report includes these tokens.
-  if (decision.admitted && connection_) spent_since_report_[workspace.name] += tokens;
+  if (decision.admitted && connection_) spent_since_report_[quota.account] += tokens;
   return decision;
 }
 
@@ -198,8 +198,10 @@
 
 StreamScheduler& CoordinatorLink::LocalScheduler(const std::string& service) {
   const auto found = local_schedulers_.find(service);
-  auto& scheduler = found != local_schedulers_.end() ? found->second : local_schedulers_[service];
+  const StreamSchedulerOptions options{.share = LocalShare(), .request_quota = &local_quota_};
+  auto& scheduler = local_schedulers_.try_emplace(service, options).first->second;
   scheduler.SetShare(LocalShare());
+  local_quota_.SetShare(LocalShare());
   if (found == local_schedulers_.end()) OnClusterChange();
   return scheduler;
 }
@@ -207,6 +209,7 @@
 void CoordinatorLink::OnClusterChange() {
   const auto catalog = view_.catalog();
   if (!catalog) return;
+  local_quota_.RetainServers(view_.replicas().ids());
   for (auto& [service, scheduler] : local_schedulers_) {
     const auto* configured = catalog->FindService(service);
     if (configured == nullptr || !configured->engine) continue;
@@ -219,7 +222,7 @@
   const auto catalog = view_.catalog();
   const auto* workspace = catalog ? catalog->FindWorkspace(request.workspace) : nullptr;
   if (workspace != nullptr && request.charge > 0) {
-    const auto decision = AdmitLocally(*workspace, request.charge);
+    const auto decision = AdmitLocally(QuotaOf(*workspace), request.charge);
     if (!decision.admitted) {
       return PlacementRefusal{true, decision.retry_after, "rate limit of the workspace exceeded"};
     }
@@ -290,50 +293,61 @@
   active_placements_.erase(found);
 }
 
-TokenCount CoordinatorLink::LocalAllowance(const CatalogWorkspace& workspace) const {
-  const auto found = balances_.find(workspace.name);
+TokenCount CoordinatorLink::LocalAllowance(const AccountQuota& quota) const {
+  const auto found = balances_.find(quota.account);
   const TokenCount level =
-      found != balances_.end() ? found->second : workspace.quota.burst / kOmittedLevelDivisor;
+      found != balances_.end() ? found->second : quota.burst / kOmittedLevelDivisor;
   // An equal share for each VM, so that all VMs together admit no more than the balance.
   return std::max<TokenCount>(level, 0) / static_cast<TokenCount>(member_count());
 }
 
-std::optional<QuotaDecision> CoordinatorLink::RequestTokens(const CatalogWorkspace& workspace,
+std::optional<QuotaDecision> CoordinatorLink::RequestTokens(const AccountQuota& quota,
                                                             TokenCount tokens,
                                                             Cancellation& cancellation,
                                                             Yield yield) {
+  const bool server = quota.account.kind == QuotaAccount::Kind::kBackendServer;
   protocol::PlaceStreamRequestT request;
-  request.workspace = workspace.name;
+  (server ? request.charged_server : request.workspace) = quota.account.name;
   request.charge = tokens;
   Call call(*this);
   connection_->Send(protocol::MessageType::PlaceStream, call.id, request);
-  const auto* reply = AwaitFirstReply(call, cancellation, yield);
+  const auto* reply =
+      server ? AwaitReply(call, 0, clock_.Now() + kRequestLimitReplyTimeout, cancellation, yield)
+             : AwaitFirstReply(call, cancellation, yield);
   if (reply == nullptr) return std::nullopt;
   if (reply->status == protocol::PlaceStreamStatus::Granted) {
     return QuotaDecision{true, absl::ZeroDuration()};
   }
   const absl::Duration retry_after = absl::Milliseconds(reply->retry_after_ms);
   if (reply->provisional) return QuotaDecision{false, retry_after, true};
-  refused_until_[workspace.name] = clock_.Now() + std::min(retry_after, kRefusalCacheTime);
+  refused_until_[quota.account] = clock_.Now() + std::min(retry_after, kRefusalCacheTime);
   return QuotaDecision{false, retry_after};
 }
 
+std::optional<QuotaDecision> CoordinatorLink::AdmitByCoordinator(const AccountQuota& quota,
+                                                                 TokenCount tokens,
+                                                                 Cancellation& cancellation,
+                                                                 Yield yield) {
+  const auto refused = refused_until_.find(quota.account);
+  if (refused != refused_until_.end() && clock_.Now() < refused->second) {
+    return QuotaDecision{false, refused->second - clock_.Now()};
+  }
+  auto& spent = spent_since_state_[quota.account];
+  if (spent + tokens <= LocalAllowance(quota)) {
+    spent += tokens;
+    spent_since_report_[quota.account] += tokens;
+    return QuotaDecision{true, absl::ZeroDuration()};
+  }
+  return RequestTokens(quota, tokens, cancellation, yield);
+}
+
 QuotaDecision CoordinatorLink::Admit(const CatalogWorkspace& workspace, TokenCount tokens,
                                      Cancellation& cancellation, Yield yield) {
   if (!workspace.quota.limited()) return {true, absl::ZeroDuration()};
+  const AccountQuota quota = QuotaOf(workspace);
   const absl::Time until = clock_.Now() + kMaxPlainFailoverWait;
   while (AwaitSession(until, cancellation, yield)) {
-    const auto refused = refused_until_.find(workspace.name);
-    if (refused != refused_until_.end() && clock_.Now() < refused->second) {
-      return {false, refused->second - clock_.Now()};
-    }
-    auto& spent = spent_since_state_[workspace.name];
-    if (spent + tokens <= LocalAllowance(workspace)) {
-      spent += tokens;
-      spent_since_report_[workspace.name] += tokens;
-      return {true, absl::ZeroDuration()};
-    }
-    const auto decision = RequestTokens(workspace, tokens, cancellation, yield);
+    const auto decision = AdmitByCoordinator(quota, tokens, cancellation, yield);
     if (decision && !decision->provisional) return *decision;
     if (cancellation.cancelled() || clock_.Now() + kProvisionalRetryDelay >= until) {
       if (decision) return *decision;
@@ -341,7 +355,18 @@
     }
     if (decision) SleepFor(io_, kProvisionalRetryDelay, yield);
   }
-  return AdmitLocally(workspace, tokens);
+  return AdmitLocally(quota, tokens);
+}
+
+QuotaDecision CoordinatorLink::AdmitRequest(const Replica& server, Cancellation& cancellation,
+                                            Yield yield) {
+  const AccountQuota quota = QuotaOf(server);
+  if (!quota.limited()) return {true, absl::ZeroDuration()};
+  if (!CoordinatorResponsive()) return AdmitLocally(quota, kRequestCost);
+  const auto decision = AdmitByCoordinator(quota, kRequestCost, cancellation, yield);
+  if (decision) return *decision;
+  refused_until_[quota.account] = clock_.Now() + kRefusalCacheTime;
+  return {false, kRefusalCacheTime};
 }
 
 }  // namespace marigoldquay
--- a/packages/fleet/src/coordinator_state.cc
+++ b/packages/fleet/src/coordinator_state.cc
@@ -105,17 +105,21 @@
   if (!catalog) return state;
   state.catalog_version = catalog->version();
   for (const auto& workspace : catalog->contents().workspaces) {
-    if (!workspace.quota.limited()) continue;
-    const auto level = quota_.Level(workspace, clock_.Now());
-    if (level * 2 >= workspace.quota.burst) continue;
-    auto entry = std::make_unique<protocol::WorkspaceTokensT>();
-    entry->workspace = workspace.name;
-    entry->tokens = level;
-    state.balances.push_back(std::move(entry));
+    if (workspace.quota.limited()) AddBalance(QuotaOf(workspace), state);
+  }
+  for (const Replica& server : view_.replicas().FindWithStatedLimit()) {
+    AddBalance(QuotaOf(server), state);
   }
   return state;
 }
 
+void Coordinator::AddBalance(const AccountQuota& quota, protocol::FleetStateT& state) {
+  if (!quota.limited()) return;
+  const TokenCount level = quota_.Level(quota, clock_.Now());
+  if (level * 2 >= quota.burst) return;
+  state.balances.push_back(ToWire(quota.account, level));
+}
+
 bool Coordinator::SendsCatalog() const {
   const std::size_t size = view_.catalog_record().size();
   return size > 0 && size <= kMaxRecordBytes && size * sessions_.size() <= kMaxTotalCatalogBytes;
@@ -134,7 +138,9 @@
   // Before the first read of the store the list is incomplete.
   state.whole_servers = since == 0 && hooks_.store_read_time() != absl::InfinitePast();
   state.backend_servers.clear();
-  for (const Replica& replica : changes.updated) state.backend_servers.push_back(ToWire(replica));
+  for (const Replica& replica : changes.updated) {
+    state.backend_servers.push_back(ToWire(replica, clock_.Now()));
+  }
   state.removed_servers = changes.removed;
 }
 
--- a/packages/fleet/src/followers.cc
+++ b/packages/fleet/src/followers.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "absl/container/flat_hash_set.h"
+#include "absl/strings/str_cat.h"
 #include "marigoldquay/core/logger.h"
 
 namespace marigoldquay {
@@ -138,6 +139,9 @@
       .Add("availability_zone", replica.availability_zone)
       .Add("role", replica.role ? kRoles[static_cast<int>(*replica.role)] : "")
       .Add("draining", replica.draining)
+      .Add("limit_per_second", replica.request_limit.per_second
+                                   ? absl::StrCat(*replica.request_limit.per_second)
+                                   : "none")
       .Add("source", source);
   Log().Event("backend_server", fields);
 }
--- a/packages/fleet/src/wire.cc
+++ b/packages/fleet/src/wire.cc
@@ -7,6 +7,8 @@
 // Values of BackendEntry.role; other values leave the role unset.
 constexpr std::uint8_t kWirePrefill = 1;
 constexpr std::uint8_t kWireDecode = 2;
+// Value of RequestLimit.per_second of a server without a limit.
+constexpr double kWireNoLimit = -1;
 
 }  // namespace
 
@@ -34,7 +36,23 @@
   return member;
 }
 
-std::unique_ptr<protocol::BackendEntryT> ToWire(const Replica& replica) {
+std::unique_ptr<protocol::RequestLimitT> ToWire(const BackendServerId& server,
+                                                const RequestLimit& limit, absl::Time now) {
+  auto wire = std::make_unique<protocol::RequestLimitT>();
+  wire->server = server;
+  wire->per_second = limit.per_second.value_or(kWireNoLimit);
+  wire->age_ms = absl::ToInt64Milliseconds(now - limit.stated_at);
+  return wire;
+}
+
+RequestLimit FromWire(const protocol::RequestLimitT& wire, absl::Time now) {
+  RequestLimit limit;
+  if (wire.per_second >= 0) limit.per_second = wire.per_second;
+  limit.stated_at = now - absl::Milliseconds(wire.age_ms);
+  return limit;
+}
+
+std::unique_ptr<protocol::BackendEntryT> ToWire(const Replica& replica, absl::Time now) {
   auto wire = std::make_unique<protocol::BackendEntryT>();
   wire->id = replica.id;
   wire->service = replica.service;
@@ -44,10 +62,13 @@
   wire->draining = replica.draining;
   if (replica.role) wire->role = *replica.role == EngineRole::kPrefill ? kWirePrefill : kWireDecode;
   wire->started_unix_ms = replica.started_unix_ms;
+  if (replica.request_limit.stated_at != absl::InfinitePast()) {
+    wire->request_limit = ToWire(replica.id, replica.request_limit, now);
+  }
   return wire;
 }
 
-Replica FromWire(const protocol::BackendEntryT& wire) {
+Replica FromWire(const protocol::BackendEntryT& wire, absl::Time now) {
   Replica replica;
   replica.id = wire.id;
   replica.service = wire.service;
@@ -58,9 +79,34 @@
   if (wire.role == kWirePrefill) replica.role = EngineRole::kPrefill;
   if (wire.role == kWireDecode) replica.role = EngineRole::kDecode;
   replica.started_unix_ms = wire.started_unix_ms;
+  if (wire.request_limit) replica.request_limit = FromWire(*wire.request_limit, now);
   return replica;
 }
 
+std::unique_ptr<protocol::AccountTokensT> ToWire(const QuotaAccount& account, TokenCount tokens) {
+  auto wire = std::make_unique<protocol::AccountTokensT>();
+  wire->account = account.name;
+  wire->tokens = tokens;
+  wire->is_server = account.kind == QuotaAccount::Kind::kBackendServer;
+  return wire;
+}
+
+QuotaAccount AccountFromWire(const protocol::AccountTokensT& wire) {
+  const auto kind =
+      wire.is_server ? QuotaAccount::Kind::kBackendServer : QuotaAccount::Kind::kWorkspace;
+  return {kind, wire.account};
+}
+
+std::optional<AccountQuota> FindQuota(const ClusterView& view, const QuotaAccount& account) {
+  if (account.kind == QuotaAccount::Kind::kBackendServer) {
+    const Replica* server = view.replicas().Find(account.name);
+    return server == nullptr ? std::nullopt : std::make_optional(QuotaOf(*server));
+  }
+  const auto catalog = view.catalog();
+  const auto* workspace = catalog ? catalog->FindWorkspace(account.name) : nullptr;
+  return workspace == nullptr ? std::nullopt : std::make_optional(QuotaOf(*workspace));
+}
+
 protocol::PlaceStreamRequestT ToWire(const StreamPlacementRequest& request, absl::Time now) {
   protocol::PlaceStreamRequestT wire;
   wire.request_id = request.demand.request;
--- a/packages/fleet/src/wire.h
+++ b/packages/fleet/src/wire.h
@@ -3,19 +3,32 @@
 #define MARIGOLDQUAY_FLEET_SRC_WIRE_H_
 
 #include <memory>
+#include <optional>
 
+#include "marigoldquay/dispatch/quota_account.h"
 #include "marigoldquay/dispatch/stream_scheduler.h"
 #include "marigoldquay/fleet/member.h"
 #include "marigoldquay/protocol/codec.h"
 #include "marigoldquay/relay/stream_placer.h"
+#include "marigoldquay/routing/cluster_view.h"
 
 namespace marigoldquay::internal {
 
 std::unique_ptr<protocol::FleetMemberT> ToWire(const FleetMember& member);
 FleetMember FromWire(const protocol::FleetMemberT& wire);
 
-std::unique_ptr<protocol::BackendEntryT> ToWire(const Replica& replica);
-Replica FromWire(const protocol::BackendEntryT& wire);
+/// Times are sent as ages relative to `now`.
+std::unique_ptr<protocol::RequestLimitT> ToWire(const BackendServerId& server,
+                                                const RequestLimit& limit, absl::Time now);
+RequestLimit FromWire(const protocol::RequestLimitT& wire, absl::Time now);
+
+std::unique_ptr<protocol::BackendEntryT> ToWire(const Replica& replica, absl::Time now);
+Replica FromWire(const protocol::BackendEntryT& wire, absl::Time now);
+
+std::unique_ptr<protocol::AccountTokensT> ToWire(const QuotaAccount& account, TokenCount tokens);
+QuotaAccount AccountFromWire(const protocol::AccountTokensT& wire);
+/// Quota of the account in the configuration or the list of backend servers; nullopt when unknown.
+std::optional<AccountQuota> FindQuota(const ClusterView& view, const QuotaAccount& account);
 
 /// Sends deadlines as milliseconds relative to `now`.
 protocol::PlaceStreamRequestT ToWire(const StreamPlacementRequest& request, absl::Time now);
--- a/packages/protocol/include/marigoldquay/protocol/inner_generated.h
+++ b/packages/protocol/include/marigoldquay/protocol/inner_generated.h
@@ -152,9 +152,13 @@
 struct FleetMemberBuilder;
 struct FleetMemberT;
 
-struct WorkspaceTokens;
-struct WorkspaceTokensBuilder;
-struct WorkspaceTokensT;
+struct AccountTokens;
+struct AccountTokensBuilder;
+struct AccountTokensT;
+
+struct RequestLimit;
+struct RequestLimitBuilder;
+struct RequestLimitT;
 
 struct FleetReport;
 struct FleetReportBuilder;
@@ -248,8 +252,10 @@
 bool operator!=(const HoldsReplyT &lhs, const HoldsReplyT &rhs);
 bool operator==(const FleetMemberT &lhs, const FleetMemberT &rhs);
 bool operator!=(const FleetMemberT &lhs, const FleetMemberT &rhs);
-bool operator==(const WorkspaceTokensT &lhs, const WorkspaceTokensT &rhs);
-bool operator!=(const WorkspaceTokensT &lhs, const WorkspaceTokensT &rhs);
+bool operator==(const AccountTokensT &lhs, const AccountTokensT &rhs);
+bool operator!=(const AccountTokensT &lhs, const AccountTokensT &rhs);
+bool operator==(const RequestLimitT &lhs, const RequestLimitT &rhs);
+bool operator!=(const RequestLimitT &lhs, const RequestLimitT &rhs);
 bool operator==(const FleetReportT &lhs, const FleetReportT &rhs);
 bool operator!=(const FleetReportT &lhs, const FleetReportT &rhs);
 bool operator==(const BackendEntryT &lhs, const BackendEntryT &rhs);
@@ -4689,93 +4695,207 @@
 
 flatbuffers::Offset<FleetMember> CreateFleetMember(flatbuffers::FlatBufferBuilder &_fbb, const FleetMemberT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct WorkspaceTokensT : public flatbuffers::NativeTable {
-  typedef WorkspaceTokens TableType;
+struct AccountTokensT : public flatbuffers::NativeTable {
+  typedef AccountTokens TableType;
   static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
-    return "marigoldquay.protocol.WorkspaceTokensT";
+    return "marigoldquay.protocol.AccountTokensT";
   }
-  std::string workspace{};
+  std::string account{};
   int64_t tokens = 0;
+  bool is_server = false;
 };
 
-struct WorkspaceTokens FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef WorkspaceTokensT NativeTableType;
-  typedef WorkspaceTokensBuilder Builder;
+struct AccountTokens FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef AccountTokensT NativeTableType;
+  typedef AccountTokensBuilder Builder;
   struct Traits;
   static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
-    return "marigoldquay.protocol.WorkspaceTokens";
+    return "marigoldquay.protocol.AccountTokens";
   }
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_WORKSPACE = 4,
-    VT_TOKENS = 6
+    VT_ACCOUNT = 4,
+    VT_TOKENS = 6,
+    VT_IS_SERVER = 8
   };
-  const flatbuffers::String *workspace() const {
-    return GetPointer<const flatbuffers::String *>(VT_WORKSPACE);
+  const flatbuffers::String *account() const {
+    return GetPointer<const flatbuffers::String *>(VT_ACCOUNT);
   }
   int64_t tokens() const {
     return GetField<int64_t>(VT_TOKENS, 0);
   }
+  bool is_server() const {
+    return GetField<uint8_t>(VT_IS_SERVER, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffsetRequired(verifier, VT_WORKSPACE) &&
-           verifier.VerifyString(workspace()) &&
+           VerifyOffsetRequired(verifier, VT_ACCOUNT) &&
+           verifier.VerifyString(account()) &&
            VerifyField<int64_t>(verifier, VT_TOKENS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_IS_SERVER, 1) &&
            verifier.EndTable();
   }
-  WorkspaceTokensT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(WorkspaceTokensT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<WorkspaceTokens> Pack(flatbuffers::FlatBufferBuilder &_fbb, const WorkspaceTokensT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  AccountTokensT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(AccountTokensT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<AccountTokens> Pack(flatbuffers::FlatBufferBuilder &_fbb, const AccountTokensT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct WorkspaceTokensBuilder {
-  typedef WorkspaceTokens Table;
+struct AccountTokensBuilder {
+  typedef AccountTokens Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_workspace(flatbuffers::Offset<flatbuffers::String> workspace) {
-    fbb_.AddOffset(WorkspaceTokens::VT_WORKSPACE, workspace);
+  void add_account(flatbuffers::Offset<flatbuffers::String> account) {
+    fbb_.AddOffset(AccountTokens::VT_ACCOUNT, account);
   }
   void add_tokens(int64_t tokens) {
-    fbb_.AddElement<int64_t>(WorkspaceTokens::VT_TOKENS, tokens, 0);
+    fbb_.AddElement<int64_t>(AccountTokens::VT_TOKENS, tokens, 0);
+  }
+  void add_is_server(bool is_server) {
+    fbb_.AddElement<uint8_t>(AccountTokens::VT_IS_SERVER, static_cast<uint8_t>(is_server), 0);
   }
-  explicit WorkspaceTokensBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  explicit AccountTokensBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<WorkspaceTokens> Finish() {
+  flatbuffers::Offset<AccountTokens> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<WorkspaceTokens>(end);
-    fbb_.Required(o, WorkspaceTokens::VT_WORKSPACE);
+    auto o = flatbuffers::Offset<AccountTokens>(end);
+    fbb_.Required(o, AccountTokens::VT_ACCOUNT);
     return o;
   }
 };
 
-inline flatbuffers::Offset<WorkspaceTokens> CreateWorkspaceTokens(
+inline flatbuffers::Offset<AccountTokens> CreateAccountTokens(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> workspace = 0,
-    int64_t tokens = 0) {
-  WorkspaceTokensBuilder builder_(_fbb);
+    flatbuffers::Offset<flatbuffers::String> account = 0,
+    int64_t tokens = 0,
+    bool is_server = false) {
+  AccountTokensBuilder builder_(_fbb);
   builder_.add_tokens(tokens);
-  builder_.add_workspace(workspace);
+  builder_.add_account(account);
+  builder_.add_is_server(is_server);
   return builder_.Finish();
 }
 
-struct WorkspaceTokens::Traits {
-  using type = WorkspaceTokens;
-  static auto constexpr Create = CreateWorkspaceTokens;
+struct AccountTokens::Traits {
+  using type = AccountTokens;
+  static auto constexpr Create = CreateAccountTokens;
 };
 
-inline flatbuffers::Offset<WorkspaceTokens> CreateWorkspaceTokensDirect(
+inline flatbuffers::Offset<AccountTokens> CreateAccountTokensDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const char *workspace = nullptr,
-    int64_t tokens = 0) {
-  auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
-  return marigoldquay::protocol::CreateWorkspaceTokens(
+    const char *account = nullptr,
+    int64_t tokens = 0,
+    bool is_server = false) {
+  auto account__ = account ? _fbb.CreateString(account) : 0;
+  return marigoldquay::protocol::CreateAccountTokens(
       _fbb,
-      workspace__,
-      tokens);
+      account__,
+      tokens,
+      is_server);
+}
+
+flatbuffers::Offset<AccountTokens> CreateAccountTokens(flatbuffers::FlatBufferBuilder &_fbb, const AccountTokensT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct RequestLimitT : public flatbuffers::NativeTable {
+  typedef RequestLimit TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "marigoldquay.protocol.RequestLimitT";
+  }
+  std::string server{};
+  double per_second = -1.0;
+  int64_t age_ms = 0;
+};
+
+struct RequestLimit FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RequestLimitT NativeTableType;
+  typedef RequestLimitBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "marigoldquay.protocol.RequestLimit";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVER = 4,
+    VT_PER_SECOND = 6,
+    VT_AGE_MS = 8
+  };
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  double per_second() const {
+    return GetField<double>(VT_PER_SECOND, -1.0);
+  }
+  int64_t age_ms() const {
+    return GetField<int64_t>(VT_AGE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyField<double>(verifier, VT_PER_SECOND, 8) &&
+           VerifyField<int64_t>(verifier, VT_AGE_MS, 8) &&
+           verifier.EndTable();
+  }
+  RequestLimitT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RequestLimitT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RequestLimit> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RequestLimitT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RequestLimitBuilder {
+  typedef RequestLimit Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(RequestLimit::VT_SERVER, server);
+  }
+  void add_per_second(double per_second) {
+    fbb_.AddElement<double>(RequestLimit::VT_PER_SECOND, per_second, -1.0);
+  }
+  void add_age_ms(int64_t age_ms) {
+    fbb_.AddElement<int64_t>(RequestLimit::VT_AGE_MS, age_ms, 0);
+  }
+  explicit RequestLimitBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RequestLimit> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RequestLimit>(end);
+    fbb_.Required(o, RequestLimit::VT_SERVER);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RequestLimit> CreateRequestLimit(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    double per_second = -1.0,
+    int64_t age_ms = 0) {
+  RequestLimitBuilder builder_(_fbb);
+  builder_.add_age_ms(age_ms);
+  builder_.add_per_second(per_second);
+  builder_.add_server(server);
+  return builder_.Finish();
+}
+
+struct RequestLimit::Traits {
+  using type = RequestLimit;
+  static auto constexpr Create = CreateRequestLimit;
+};
+
+inline flatbuffers::Offset<RequestLimit> CreateRequestLimitDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *server = nullptr,
+    double per_second = -1.0,
+    int64_t age_ms = 0) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  return marigoldquay::protocol::CreateRequestLimit(
+      _fbb,
+      server__,
+      per_second,
+      age_ms);
 }
 
-flatbuffers::Offset<WorkspaceTokens> CreateWorkspaceTokens(flatbuffers::FlatBufferBuilder &_fbb, const WorkspaceTokensT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<RequestLimit> CreateRequestLimit(flatbuffers::FlatBufferBuilder &_fbb, const RequestLimitT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct FleetReportT : public flatbuffers::NativeTable {
   typedef FleetReport TableType;
@@ -4783,13 +4903,14 @@
     return "marigoldquay.protocol.FleetReportT";
   }
   std::unique_ptr<marigoldquay::protocol::FleetMemberT> sender{};
-  std::vector<std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT>> spent{};
+  std::vector<std::unique_ptr<marigoldquay::protocol::AccountTokensT>> spent{};
   uint32_t member_count = 0;
-  std::vector<std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT>> levels{};
+  std::vector<std::unique_ptr<marigoldquay::protocol::AccountTokensT>> levels{};
   uint32_t store_age_ms = 0;
   std::vector<std::string> leaving_servers{};
   uint64_t catalog_version = 0;
   bool needs_servers = false;
+  std::vector<std::unique_ptr<marigoldquay::protocol::RequestLimitT>> request_limits{};
   FleetReportT() = default;
   FleetReportT(const FleetReportT &o);
   FleetReportT(FleetReportT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4811,19 +4932,20 @@
     VT_STORE_AGE_MS = 12,
     VT_LEAVING_SERVERS = 14,
     VT_CATALOG_VERSION = 16,
-    VT_NEEDS_SERVERS = 18
+    VT_NEEDS_SERVERS = 18,
+    VT_REQUEST_LIMITS = 20
   };
   const marigoldquay::protocol::FleetMember *sender() const {
     return GetPointer<const marigoldquay::protocol::FleetMember *>(VT_SENDER);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>> *spent() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>> *>(VT_SPENT);
+  const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::AccountTokens>> *spent() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::AccountTokens>> *>(VT_SPENT);
   }
   uint32_t member_count() const {
     return GetField<uint32_t>(VT_MEMBER_COUNT, 0);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>> *levels() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>> *>(VT_LEVELS);
+  const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::AccountTokens>> *levels() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::AccountTokens>> *>(VT_LEVELS);
   }
   uint32_t store_age_ms() const {
     return GetField<uint32_t>(VT_STORE_AGE_MS, 0);
@@ -4837,6 +4959,9 @@
   bool needs_servers() const {
     return GetField<uint8_t>(VT_NEEDS_SERVERS, 0) != 0;
   }
+  const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::RequestLimit>> *request_limits() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::RequestLimit>> *>(VT_REQUEST_LIMITS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_SENDER) &&
@@ -4854,6 +4979,9 @@
            verifier.VerifyVectorOfStrings(leaving_servers()) &&
            VerifyField<uint64_t>(verifier, VT_CATALOG_VERSION, 8) &&
            VerifyField<uint8_t>(verifier, VT_NEEDS_SERVERS, 1) &&
+           VerifyOffset(verifier, VT_REQUEST_LIMITS) &&
+           verifier.VerifyVector(request_limits()) &&
+           verifier.VerifyVectorOfTables(request_limits()) &&
            verifier.EndTable();
   }
   FleetReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4868,13 +4996,13 @@
   void add_sender(flatbuffers::Offset<marigoldquay::protocol::FleetMember> sender) {
     fbb_.AddOffset(FleetReport::VT_SENDER, sender);
   }
-  void add_spent(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>>> spent) {
+  void add_spent(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::AccountTokens>>> spent) {
     fbb_.AddOffset(FleetReport::VT_SPENT, spent);
   }
   void add_member_count(uint32_t member_count) {
     fbb_.AddElement<uint32_t>(FleetReport::VT_MEMBER_COUNT, member_count, 0);
   }
-  void add_levels(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>>> levels) {
+  void add_levels(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::AccountTokens>>> levels) {
     fbb_.AddOffset(FleetReport::VT_LEVELS, levels);
   }
   void add_store_age_ms(uint32_t store_age_ms) {
@@ -4889,6 +5017,9 @@
   void add_needs_servers(bool needs_servers) {
     fbb_.AddElement<uint8_t>(FleetReport::VT_NEEDS_SERVERS, static_cast<uint8_t>(needs_servers), 0);
   }
+  void add_request_limits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::RequestLimit>>> request_limits) {
+    fbb_.AddOffset(FleetReport::VT_REQUEST_LIMITS, request_limits);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4904,15 +5035,17 @@
 inline flatbuffers::Offset<FleetReport> CreateFleetReport(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<marigoldquay::protocol::FleetMember> sender = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>>> spent = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::AccountTokens>>> spent = 0,
     uint32_t member_count = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>>> levels = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::AccountTokens>>> levels = 0,
     uint32_t store_age_ms = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> leaving_servers = 0,
     uint64_t catalog_version = 0,
-    bool needs_servers = false) {
+    bool needs_servers = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::RequestLimit>>> request_limits = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_catalog_version(catalog_version);
+  builder_.add_request_limits(request_limits);
   builder_.add_leaving_servers(leaving_servers);
   builder_.add_store_age_ms(store_age_ms);
   builder_.add_levels(levels);
@@ -4931,16 +5064,18 @@
 inline flatbuffers::Offset<FleetReport> CreateFleetReportDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<marigoldquay::protocol::FleetMember> sender = 0,
-    const std::vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>> *spent = nullptr,
+    const std::vector<flatbuffers::Offset<marigoldquay::protocol::AccountTokens>> *spent = nullptr,
     uint32_t member_count = 0,
-    const std::vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>> *levels = nullptr,
+    const std::vector<flatbuffers::Offset<marigoldquay::protocol::AccountTokens>> *levels = nullptr,
     uint32_t store_age_ms = 0,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *leaving_servers = nullptr,
     uint64_t catalog_version = 0,
-    bool needs_servers = false) {
-  auto spent__ = spent ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>>(*spent) : 0;
-  auto levels__ = levels ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>>(*levels) : 0;
+    bool needs_servers = false,
+    const std::vector<flatbuffers::Offset<marigoldquay::protocol::RequestLimit>> *request_limits = nullptr) {
+  auto spent__ = spent ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::AccountTokens>>(*spent) : 0;
+  auto levels__ = levels ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::AccountTokens>>(*levels) : 0;
   auto leaving_servers__ = leaving_servers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*leaving_servers) : 0;
+  auto request_limits__ = request_limits ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::RequestLimit>>(*request_limits) : 0;
   return marigoldquay::protocol::CreateFleetReport(
       _fbb,
       sender,
@@ -4950,7 +5085,8 @@
       store_age_ms,
       leaving_servers__,
       catalog_version,
-      needs_servers);
+      needs_servers,
+      request_limits__);
 }
 
 flatbuffers::Offset<FleetReport> CreateFleetReport(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4968,6 +5104,11 @@
   bool draining = false;
   uint8_t role = 0;
   int64_t started_unix_ms = 0;
+  std::unique_ptr<marigoldquay::protocol::RequestLimitT> request_limit{};
+  BackendEntryT() = default;
+  BackendEntryT(const BackendEntryT &o);
+  BackendEntryT(BackendEntryT&&) FLATBUFFERS_NOEXCEPT = default;
+  BackendEntryT &operator=(BackendEntryT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct BackendEntry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4985,7 +5126,8 @@
     VT_SLOTS = 12,
     VT_DRAINING = 14,
     VT_ROLE = 16,
-    VT_STARTED_UNIX_MS = 18
+    VT_STARTED_UNIX_MS = 18,
+    VT_REQUEST_LIMIT = 20
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -5011,6 +5153,9 @@
   int64_t started_unix_ms() const {
     return GetField<int64_t>(VT_STARTED_UNIX_MS, 0);
   }
+  const marigoldquay::protocol::RequestLimit *request_limit() const {
+    return GetPointer<const marigoldquay::protocol::RequestLimit *>(VT_REQUEST_LIMIT);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_ID) &&
@@ -5025,6 +5170,8 @@
            VerifyField<uint8_t>(verifier, VT_DRAINING, 1) &&
            VerifyField<uint8_t>(verifier, VT_ROLE, 1) &&
            VerifyField<int64_t>(verifier, VT_STARTED_UNIX_MS, 8) &&
+           VerifyOffset(verifier, VT_REQUEST_LIMIT) &&
+           verifier.VerifyTable(request_limit()) &&
            verifier.EndTable();
   }
   BackendEntryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5060,6 +5207,9 @@
   void add_started_unix_ms(int64_t started_unix_ms) {
     fbb_.AddElement<int64_t>(BackendEntry::VT_STARTED_UNIX_MS, started_unix_ms, 0);
   }
+  void add_request_limit(flatbuffers::Offset<marigoldquay::protocol::RequestLimit> request_limit) {
+    fbb_.AddOffset(BackendEntry::VT_REQUEST_LIMIT, request_limit);
+  }
   explicit BackendEntryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5081,9 +5231,11 @@
     int32_t slots = 0,
     bool draining = false,
     uint8_t role = 0,
-    int64_t started_unix_ms = 0) {
+    int64_t started_unix_ms = 0,
+    flatbuffers::Offset<marigoldquay::protocol::RequestLimit> request_limit = 0) {
   BackendEntryBuilder builder_(_fbb);
   builder_.add_started_unix_ms(started_unix_ms);
+  builder_.add_request_limit(request_limit);
   builder_.add_slots(slots);
   builder_.add_availability_zone(availability_zone);
   builder_.add_address(address);
@@ -5108,7 +5260,8 @@
     int32_t slots = 0,
     bool draining = false,
     uint8_t role = 0,
-    int64_t started_unix_ms = 0) {
+    int64_t started_unix_ms = 0,
+    flatbuffers::Offset<marigoldquay::protocol::RequestLimit> request_limit = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
@@ -5122,7 +5275,8 @@
       slots,
       draining,
       role,
-      started_unix_ms);
+      started_unix_ms,
+      request_limit);
 }
 
 flatbuffers::Offset<BackendEntry> CreateBackendEntry(flatbuffers::FlatBufferBuilder &_fbb, const BackendEntryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5135,7 +5289,7 @@
   std::unique_ptr<marigoldquay::protocol::FleetMemberT> coordinator{};
   std::vector<std::unique_ptr<marigoldquay::protocol::FleetMemberT>> members{};
   uint32_t member_count = 0;
-  std::vector<std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT>> balances{};
+  std::vector<std::unique_ptr<marigoldquay::protocol::AccountTokensT>> balances{};
   uint32_t interval_ms = 0;
   bool whole_members = false;
   uint64_t catalog_version = 0;
@@ -5182,8 +5336,8 @@
   uint32_t member_count() const {
     return GetField<uint32_t>(VT_MEMBER_COUNT, 0);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>> *balances() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>> *>(VT_BALANCES);
+  const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::AccountTokens>> *balances() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::AccountTokens>> *>(VT_BALANCES);
   }
   uint32_t interval_ms() const {
     return GetField<uint32_t>(VT_INTERVAL_MS, 0);
@@ -5259,7 +5413,7 @@
   void add_member_count(uint32_t member_count) {
     fbb_.AddElement<uint32_t>(FleetState::VT_MEMBER_COUNT, member_count, 0);
   }
-  void add_balances(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>>> balances) {
+  void add_balances(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::AccountTokens>>> balances) {
     fbb_.AddOffset(FleetState::VT_BALANCES, balances);
   }
   void add_interval_ms(uint32_t interval_ms) {
@@ -5306,7 +5460,7 @@
     flatbuffers::Offset<marigoldquay::protocol::FleetMember> coordinator = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::FleetMember>>> members = 0,
     uint32_t member_count = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>>> balances = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::AccountTokens>>> balances = 0,
     uint32_t interval_ms = 0,
     bool whole_members = false,
     uint64_t catalog_version = 0,
@@ -5343,7 +5497,7 @@
     flatbuffers::Offset<marigoldquay::protocol::FleetMember> coordinator = 0,
     const std::vector<flatbuffers::Offset<marigoldquay::protocol::FleetMember>> *members = nullptr,
     uint32_t member_count = 0,
-    const std::vector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>> *balances = nullptr,
+    const std::vector<flatbuffers::Offset<marigoldquay::protocol::AccountTokens>> *balances = nullptr,
     uint32_t interval_ms = 0,
     bool whole_members = false,
     uint64_t catalog_version = 0,
@@ -5354,7 +5508,7 @@
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *removed_members = nullptr,
     const std::vector<uint8_t> *catalog = nullptr) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::FleetMember>>(*members) : 0;
-  auto balances__ = balances ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>>(*balances) : 0;
+  auto balances__ = balances ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::AccountTokens>>(*balances) : 0;
   auto backend_servers__ = backend_servers ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::BackendEntry>>(*backend_servers) : 0;
   auto removed_servers__ = removed_servers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*removed_servers) : 0;
   auto removed_members__ = removed_members ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*removed_members) : 0;
@@ -5395,6 +5549,7 @@
   std::string availability_zone{};
   std::vector<std::string> excluded{};
   std::string running_on{};
+  std::string charged_server{};
 };
 
 struct PlaceStreamRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -5416,7 +5571,8 @@
     VT_PRIORITY = 20,
     VT_AVAILABILITY_ZONE = 22,
     VT_EXCLUDED = 24,
-    VT_RUNNING_ON = 26
+    VT_RUNNING_ON = 26,
+    VT_CHARGED_SERVER = 28
   };
   const flatbuffers::String *request_id() const {
     return GetPointer<const flatbuffers::String *>(VT_REQUEST_ID);
@@ -5454,6 +5610,9 @@
   const flatbuffers::String *running_on() const {
     return GetPointer<const flatbuffers::String *>(VT_RUNNING_ON);
   }
+  const flatbuffers::String *charged_server() const {
+    return GetPointer<const flatbuffers::String *>(VT_CHARGED_SERVER);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_REQUEST_ID) &&
@@ -5475,6 +5634,8 @@
            verifier.VerifyVectorOfStrings(excluded()) &&
            VerifyOffset(verifier, VT_RUNNING_ON) &&
            verifier.VerifyString(running_on()) &&
+           VerifyOffset(verifier, VT_CHARGED_SERVER) &&
+           verifier.VerifyString(charged_server()) &&
            verifier.EndTable();
   }
   PlaceStreamRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5522,6 +5683,9 @@
   void add_running_on(flatbuffers::Offset<flatbuffers::String> running_on) {
     fbb_.AddOffset(PlaceStreamRequest::VT_RUNNING_ON, running_on);
   }
+  void add_charged_server(flatbuffers::Offset<flatbuffers::String> charged_server) {
+    fbb_.AddOffset(PlaceStreamRequest::VT_CHARGED_SERVER, charged_server);
+  }
   explicit PlaceStreamRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5548,11 +5712,13 @@
     int32_t priority = 0,
     flatbuffers::Offset<flatbuffers::String> availability_zone = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> excluded = 0,
-    flatbuffers::Offset<flatbuffers::String> running_on = 0) {
+    flatbuffers::Offset<flatbuffers::String> running_on = 0,
+    flatbuffers::Offset<flatbuffers::String> charged_server = 0) {
   PlaceStreamRequestBuilder builder_(_fbb);
   builder_.add_output_tokens(output_tokens);
   builder_.add_prompt_tokens(prompt_tokens);
   builder_.add_charge(charge);
+  builder_.add_charged_server(charged_server);
   builder_.add_running_on(running_on);
   builder_.add_excluded(excluded);
   builder_.add_availability_zone(availability_zone);
@@ -5583,13 +5749,15 @@
     int32_t priority = 0,
     const char *availability_zone = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *excluded = nullptr,
-    const char *running_on = nullptr) {
+    const char *running_on = nullptr,
+    const char *charged_server = nullptr) {
   auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
   auto availability_zone__ = availability_zone ? _fbb.CreateString(availability_zone) : 0;
   auto excluded__ = excluded ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*excluded) : 0;
   auto running_on__ = running_on ? _fbb.CreateString(running_on) : 0;
+  auto charged_server__ = charged_server ? _fbb.CreateString(charged_server) : 0;
   return marigoldquay::protocol::CreatePlaceStreamRequest(
       _fbb,
       request_id__,
@@ -5603,7 +5771,8 @@
       priority,
       availability_zone__,
       excluded__,
-      running_on__);
+      running_on__,
+      charged_server__);
 }
 
 flatbuffers::Offset<PlaceStreamRequest> CreatePlaceStreamRequest(flatbuffers::FlatBufferBuilder &_fbb, const PlaceStreamRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -7859,57 +8028,107 @@
 }
 
 
-inline bool operator==(const WorkspaceTokensT &lhs, const WorkspaceTokensT &rhs) {
+inline bool operator==(const AccountTokensT &lhs, const AccountTokensT &rhs) {
   return
-      (lhs.workspace == rhs.workspace) &&
-      (lhs.tokens == rhs.tokens);
+      (lhs.account == rhs.account) &&
+      (lhs.tokens == rhs.tokens) &&
+      (lhs.is_server == rhs.is_server);
 }
 
-inline bool operator!=(const WorkspaceTokensT &lhs, const WorkspaceTokensT &rhs) {
+inline bool operator!=(const AccountTokensT &lhs, const AccountTokensT &rhs) {
     return !(lhs == rhs);
 }
 
 
-inline WorkspaceTokensT *WorkspaceTokens::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<WorkspaceTokensT>();
+inline AccountTokensT *AccountTokens::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<AccountTokensT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void WorkspaceTokens::UnPackTo(WorkspaceTokensT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void AccountTokens::UnPackTo(AccountTokensT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = workspace(); if (_e) _o->workspace = _e->str(); }
+  { auto _e = account(); if (_e) _o->account = _e->str(); }
   { auto _e = tokens(); _o->tokens = _e; }
+  { auto _e = is_server(); _o->is_server = _e; }
 }
 
-inline flatbuffers::Offset<WorkspaceTokens> WorkspaceTokens::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WorkspaceTokensT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateWorkspaceTokens(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<AccountTokens> AccountTokens::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AccountTokensT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateAccountTokens(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<WorkspaceTokens> CreateWorkspaceTokens(flatbuffers::FlatBufferBuilder &_fbb, const WorkspaceTokensT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<AccountTokens> CreateAccountTokens(flatbuffers::FlatBufferBuilder &_fbb, const AccountTokensT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const WorkspaceTokensT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _workspace = _fbb.CreateString(_o->workspace);
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AccountTokensT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _account = _fbb.CreateString(_o->account);
   auto _tokens = _o->tokens;
-  return marigoldquay::protocol::CreateWorkspaceTokens(
+  auto _is_server = _o->is_server;
+  return marigoldquay::protocol::CreateAccountTokens(
       _fbb,
-      _workspace,
-      _tokens);
+      _account,
+      _tokens,
+      _is_server);
+}
+
+
+inline bool operator==(const RequestLimitT &lhs, const RequestLimitT &rhs) {
+  return
+      (lhs.server == rhs.server) &&
+      (lhs.per_second == rhs.per_second) &&
+      (lhs.age_ms == rhs.age_ms);
+}
+
+inline bool operator!=(const RequestLimitT &lhs, const RequestLimitT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline RequestLimitT *RequestLimit::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RequestLimitT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RequestLimit::UnPackTo(RequestLimitT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = server(); if (_e) _o->server = _e->str(); }
+  { auto _e = per_second(); _o->per_second = _e; }
+  { auto _e = age_ms(); _o->age_ms = _e; }
+}
+
+inline flatbuffers::Offset<RequestLimit> RequestLimit::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RequestLimitT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRequestLimit(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RequestLimit> CreateRequestLimit(flatbuffers::FlatBufferBuilder &_fbb, const RequestLimitT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RequestLimitT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _server = _fbb.CreateString(_o->server);
+  auto _per_second = _o->per_second;
+  auto _age_ms = _o->age_ms;
+  return marigoldquay::protocol::CreateRequestLimit(
+      _fbb,
+      _server,
+      _per_second,
+      _age_ms);
 }
 
 
 inline bool operator==(const FleetReportT &lhs, const FleetReportT &rhs) {
   return
       ((lhs.sender == rhs.sender) || (lhs.sender && rhs.sender && *lhs.sender == *rhs.sender)) &&
-      (lhs.spent.size() == rhs.spent.size() && std::equal(lhs.spent.cbegin(), lhs.spent.cend(), rhs.spent.cbegin(), [](std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT> const &a, std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
+      (lhs.spent.size() == rhs.spent.size() && std::equal(lhs.spent.cbegin(), lhs.spent.cend(), rhs.spent.cbegin(), [](std::unique_ptr<marigoldquay::protocol::AccountTokensT> const &a, std::unique_ptr<marigoldquay::protocol::AccountTokensT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
       (lhs.member_count == rhs.member_count) &&
-      (lhs.levels.size() == rhs.levels.size() && std::equal(lhs.levels.cbegin(), lhs.levels.cend(), rhs.levels.cbegin(), [](std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT> const &a, std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
+      (lhs.levels.size() == rhs.levels.size() && std::equal(lhs.levels.cbegin(), lhs.levels.cend(), rhs.levels.cbegin(), [](std::unique_ptr<marigoldquay::protocol::AccountTokensT> const &a, std::unique_ptr<marigoldquay::protocol::AccountTokensT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
       (lhs.store_age_ms == rhs.store_age_ms) &&
       (lhs.leaving_servers == rhs.leaving_servers) &&
       (lhs.catalog_version == rhs.catalog_version) &&
-      (lhs.needs_servers == rhs.needs_servers);
+      (lhs.needs_servers == rhs.needs_servers) &&
+      (lhs.request_limits.size() == rhs.request_limits.size() && std::equal(lhs.request_limits.cbegin(), lhs.request_limits.cend(), rhs.request_limits.cbegin(), [](std::unique_ptr<marigoldquay::protocol::RequestLimitT> const &a, std::unique_ptr<marigoldquay::protocol::RequestLimitT> const &b) { return (a == b) || (a && b && *a == *b); }));
 }
 
 inline bool operator!=(const FleetReportT &lhs, const FleetReportT &rhs) {
@@ -7925,9 +8144,11 @@
         catalog_version(o.catalog_version),
         needs_servers(o.needs_servers) {
   spent.reserve(o.spent.size());
-  for (const auto &spent_ : o.spent) { spent.emplace_back((spent_) ? new marigoldquay::protocol::WorkspaceTokensT(*spent_) : nullptr); }
+  for (const auto &spent_ : o.spent) { spent.emplace_back((spent_) ? new marigoldquay::protocol::AccountTokensT(*spent_) : nullptr); }
   levels.reserve(o.levels.size());
-  for (const auto &levels_ : o.levels) { levels.emplace_back((levels_) ? new marigoldquay::protocol::WorkspaceTokensT(*levels_) : nullptr); }
+  for (const auto &levels_ : o.levels) { levels.emplace_back((levels_) ? new marigoldquay::protocol::AccountTokensT(*levels_) : nullptr); }
+  request_limits.reserve(o.request_limits.size());
+  for (const auto &request_limits_ : o.request_limits) { request_limits.emplace_back((request_limits_) ? new marigoldquay::protocol::RequestLimitT(*request_limits_) : nullptr); }
 }
 
 inline FleetReportT &FleetReportT::operator=(FleetReportT o) FLATBUFFERS_NOEXCEPT {
@@ -7939,6 +8160,7 @@
   std::swap(leaving_servers, o.leaving_servers);
   std::swap(catalog_version, o.catalog_version);
   std::swap(needs_servers, o.needs_servers);
+  std::swap(request_limits, o.request_limits);
   return *this;
 }
 
@@ -7952,13 +8174,14 @@
   (void)_o;
   (void)_resolver;
   { auto _e = sender(); if (_e) _o->sender = std::unique_ptr<marigoldquay::protocol::FleetMemberT>(_e->UnPack(_resolver)); }
-  { auto _e = spent(); if (_e) { _o->spent.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->spent[_i] = std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = spent(); if (_e) { _o->spent.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->spent[_i] = std::unique_ptr<marigoldquay::protocol::AccountTokensT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = member_count(); _o->member_count = _e; }
-  { auto _e = levels(); if (_e) { _o->levels.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->levels[_i] = std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = levels(); if (_e) { _o->levels.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->levels[_i] = std::unique_ptr<marigoldquay::protocol::AccountTokensT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = store_age_ms(); _o->store_age_ms = _e; }
   { auto _e = leaving_servers(); if (_e) { _o->leaving_servers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->leaving_servers[_i] = _e->Get(_i)->str(); } } }
   { auto _e = catalog_version(); _o->catalog_version = _e; }
   { auto _e = needs_servers(); _o->needs_servers = _e; }
+  { auto _e = request_limits(); if (_e) { _o->request_limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->request_limits[_i] = std::unique_ptr<marigoldquay::protocol::RequestLimitT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<FleetReport> FleetReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7970,13 +8193,14 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const FleetReportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _sender = _o->sender ? CreateFleetMember(_fbb, _o->sender.get(), _rehasher) : 0;
-  auto _spent = _o->spent.size() ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>> (_o->spent.size(), [](size_t i, _VectorArgs *__va) { return CreateWorkspaceTokens(*__va->__fbb, __va->__o->spent[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _spent = _o->spent.size() ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::AccountTokens>> (_o->spent.size(), [](size_t i, _VectorArgs *__va) { return CreateAccountTokens(*__va->__fbb, __va->__o->spent[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _member_count = _o->member_count;
-  auto _levels = _o->levels.size() ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>> (_o->levels.size(), [](size_t i, _VectorArgs *__va) { return CreateWorkspaceTokens(*__va->__fbb, __va->__o->levels[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _levels = _o->levels.size() ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::AccountTokens>> (_o->levels.size(), [](size_t i, _VectorArgs *__va) { return CreateAccountTokens(*__va->__fbb, __va->__o->levels[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _store_age_ms = _o->store_age_ms;
   auto _leaving_servers = _o->leaving_servers.size() ? _fbb.CreateVectorOfStrings(_o->leaving_servers) : 0;
   auto _catalog_version = _o->catalog_version;
   auto _needs_servers = _o->needs_servers;
+  auto _request_limits = _o->request_limits.size() ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::RequestLimit>> (_o->request_limits.size(), [](size_t i, _VectorArgs *__va) { return CreateRequestLimit(*__va->__fbb, __va->__o->request_limits[i].get(), __va->__rehasher); }, &_va ) : 0;
   return marigoldquay::protocol::CreateFleetReport(
       _fbb,
       _sender,
@@ -7986,7 +8210,8 @@
       _store_age_ms,
       _leaving_servers,
       _catalog_version,
-      _needs_servers);
+      _needs_servers,
+      _request_limits);
 }
 
 
@@ -7999,7 +8224,8 @@
       (lhs.slots == rhs.slots) &&
       (lhs.draining == rhs.draining) &&
       (lhs.role == rhs.role) &&
-      (lhs.started_unix_ms == rhs.started_unix_ms);
+      (lhs.started_unix_ms == rhs.started_unix_ms) &&
+      ((lhs.request_limit == rhs.request_limit) || (lhs.request_limit && rhs.request_limit && *lhs.request_limit == *rhs.request_limit));
 }
 
 inline bool operator!=(const BackendEntryT &lhs, const BackendEntryT &rhs) {
@@ -8007,6 +8233,31 @@
 }
 
 
+inline BackendEntryT::BackendEntryT(const BackendEntryT &o)
+      : id(o.id),
+        service(o.service),
+        address(o.address),
+        availability_zone(o.availability_zone),
+        slots(o.slots),
+        draining(o.draining),
+        role(o.role),
+        started_unix_ms(o.started_unix_ms),
+        request_limit((o.request_limit) ? new marigoldquay::protocol::RequestLimitT(*o.request_limit) : nullptr) {
+}
+
+inline BackendEntryT &BackendEntryT::operator=(BackendEntryT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(id, o.id);
+  std::swap(service, o.service);
+  std::swap(address, o.address);
+  std::swap(availability_zone, o.availability_zone);
+  std::swap(slots, o.slots);
+  std::swap(draining, o.draining);
+  std::swap(role, o.role);
+  std::swap(started_unix_ms, o.started_unix_ms);
+  std::swap(request_limit, o.request_limit);
+  return *this;
+}
+
 inline BackendEntryT *BackendEntry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<BackendEntryT>();
   UnPackTo(_o.get(), _resolver);
@@ -8024,6 +8275,7 @@
   { auto _e = draining(); _o->draining = _e; }
   { auto _e = role(); _o->role = _e; }
   { auto _e = started_unix_ms(); _o->started_unix_ms = _e; }
+  { auto _e = request_limit(); if (_e) _o->request_limit = std::unique_ptr<marigoldquay::protocol::RequestLimitT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<BackendEntry> BackendEntry::Pack(flatbuffers::FlatBufferBuilder &_fbb, const BackendEntryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8042,6 +8294,7 @@
   auto _draining = _o->draining;
   auto _role = _o->role;
   auto _started_unix_ms = _o->started_unix_ms;
+  auto _request_limit = _o->request_limit ? CreateRequestLimit(_fbb, _o->request_limit.get(), _rehasher) : 0;
   return marigoldquay::protocol::CreateBackendEntry(
       _fbb,
       _id,
@@ -8051,7 +8304,8 @@
       _slots,
       _draining,
       _role,
-      _started_unix_ms);
+      _started_unix_ms,
+      _request_limit);
 }
 
 
@@ -8060,7 +8314,7 @@
       ((lhs.coordinator == rhs.coordinator) || (lhs.coordinator && rhs.coordinator && *lhs.coordinator == *rhs.coordinator)) &&
       (lhs.members.size() == rhs.members.size() && std::equal(lhs.members.cbegin(), lhs.members.cend(), rhs.members.cbegin(), [](std::unique_ptr<marigoldquay::protocol::FleetMemberT> const &a, std::unique_ptr<marigoldquay::protocol::FleetMemberT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
       (lhs.member_count == rhs.member_count) &&
-      (lhs.balances.size() == rhs.balances.size() && std::equal(lhs.balances.cbegin(), lhs.balances.cend(), rhs.balances.cbegin(), [](std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT> const &a, std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
+      (lhs.balances.size() == rhs.balances.size() && std::equal(lhs.balances.cbegin(), lhs.balances.cend(), rhs.balances.cbegin(), [](std::unique_ptr<marigoldquay::protocol::AccountTokensT> const &a, std::unique_ptr<marigoldquay::protocol::AccountTokensT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
       (lhs.interval_ms == rhs.interval_ms) &&
       (lhs.whole_members == rhs.whole_members) &&
       (lhs.catalog_version == rhs.catalog_version) &&
@@ -8091,7 +8345,7 @@
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new marigoldquay::protocol::FleetMemberT(*members_) : nullptr); }
   balances.reserve(o.balances.size());
-  for (const auto &balances_ : o.balances) { balances.emplace_back((balances_) ? new marigoldquay::protocol::WorkspaceTokensT(*balances_) : nullptr); }
+  for (const auto &balances_ : o.balances) { balances.emplace_back((balances_) ? new marigoldquay::protocol::AccountTokensT(*balances_) : nullptr); }
   backend_servers.reserve(o.backend_servers.size());
   for (const auto &backend_servers_ : o.backend_servers) { backend_servers.emplace_back((backend_servers_) ? new marigoldquay::protocol::BackendEntryT(*backend_servers_) : nullptr); }
 }
@@ -8125,7 +8379,7 @@
   { auto _e = coordinator(); if (_e) _o->coordinator = std::unique_ptr<marigoldquay::protocol::FleetMemberT>(_e->UnPack(_resolver)); }
   { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = std::unique_ptr<marigoldquay::protocol::FleetMemberT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = member_count(); _o->member_count = _e; }
-  { auto _e = balances(); if (_e) { _o->balances.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->balances[_i] = std::unique_ptr<marigoldquay::protocol::WorkspaceTokensT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = balances(); if (_e) { _o->balances.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->balances[_i] = std::unique_ptr<marigoldquay::protocol::AccountTokensT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = interval_ms(); _o->interval_ms = _e; }
   { auto _e = whole_members(); _o->whole_members = _e; }
   { auto _e = catalog_version(); _o->catalog_version = _e; }
@@ -8148,7 +8402,7 @@
   auto _coordinator = _o->coordinator ? CreateFleetMember(_fbb, _o->coordinator.get(), _rehasher) : 0;
   auto _members = _o->members.size() ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::FleetMember>> (_o->members.size(), [](size_t i, _VectorArgs *__va) { return CreateFleetMember(*__va->__fbb, __va->__o->members[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _member_count = _o->member_count;
-  auto _balances = _o->balances.size() ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::WorkspaceTokens>> (_o->balances.size(), [](size_t i, _VectorArgs *__va) { return CreateWorkspaceTokens(*__va->__fbb, __va->__o->balances[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _balances = _o->balances.size() ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::AccountTokens>> (_o->balances.size(), [](size_t i, _VectorArgs *__va) { return CreateAccountTokens(*__va->__fbb, __va->__o->balances[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _interval_ms = _o->interval_ms;
   auto _whole_members = _o->whole_members;
   auto _catalog_version = _o->catalog_version;
@@ -8189,7 +8443,8 @@
       (lhs.priority == rhs.priority) &&
       (lhs.availability_zone == rhs.availability_zone) &&
       (lhs.excluded == rhs.excluded) &&
-      (lhs.running_on == rhs.running_on);
+      (lhs.running_on == rhs.running_on) &&
+      (lhs.charged_server == rhs.charged_server);
 }
 
 inline bool operator!=(const PlaceStreamRequestT &lhs, const PlaceStreamRequestT &rhs) {
@@ -8218,6 +8473,7 @@
   { auto _e = availability_zone(); if (_e) _o->availability_zone = _e->str(); }
   { auto _e = excluded(); if (_e) { _o->excluded.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->excluded[_i] = _e->Get(_i)->str(); } } }
   { auto _e = running_on(); if (_e) _o->running_on = _e->str(); }
+  { auto _e = charged_server(); if (_e) _o->charged_server = _e->str(); }
 }
 
 inline flatbuffers::Offset<PlaceStreamRequest> PlaceStreamRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceStreamRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8240,6 +8496,7 @@
   auto _availability_zone = _o->availability_zone.empty() ? 0 : _fbb.CreateString(_o->availability_zone);
   auto _excluded = _o->excluded.size() ? _fbb.CreateVectorOfStrings(_o->excluded) : 0;
   auto _running_on = _o->running_on.empty() ? 0 : _fbb.CreateString(_o->running_on);
+  auto _charged_server = _o->charged_server.empty() ? 0 : _fbb.CreateString(_o->charged_server);
   return marigoldquay::protocol::CreatePlaceStreamRequest(
       _fbb,
       _request_id,
@@ -8253,7 +8510,8 @@
       _priority,
       _availability_zone,
       _excluded,
-      _running_on);
+      _running_on,
+      _charged_server);
 }
 
 
--- a/packages/relay/include/marigoldquay/relay/stream_placer.h
+++ b/packages/relay/include/marigoldquay/relay/stream_placer.h
@@ -63,7 +63,8 @@
   virtual void OnEnd(const StreamPlacement& placement, StreamEnd end) = 0;
 };
 
-/// Charges the quota for requests that need no placement.
+/// Charges requests that need no placement to the quota of their workspace and to the request limit
+/// of their backend server.
 class QuotaGate {
  public:
   virtual ~QuotaGate() = default;
@@ -71,6 +72,10 @@
   /// Charges `tokens` to the workspace. May block the fiber until the coordinator decides.
   virtual QuotaDecision Admit(const CatalogWorkspace& workspace, TokenCount tokens,
                               Cancellation& cancellation, Yield yield) = 0;
+  /// Charges a request that is about to be sent to a server with a request limit. Does not wait for
+  /// another coordinator when the present one does not respond.
+  virtual QuotaDecision AdmitRequest(const Replica& server, Cancellation& cancellation,
+                                     Yield yield) = 0;
 };
 
 }  // namespace marigoldquay
--- a/packages/relay/src/plain_relay.cc
+++ b/packages/relay/src/plain_relay.cc
@@ -21,6 +21,7 @@
 constexpr absl::Duration kMinResendDelay = absl::Milliseconds(60);
 constexpr absl::Duration kOverloadRetryAfter = absl::Milliseconds(400);
 constexpr absl::Duration kNoServerRetryAfter = absl::Seconds(1);
+constexpr absl::Duration kMinLimitRetryAfter = absl::Milliseconds(100);
 constexpr unsigned kBadGateway = 502;
 constexpr unsigned kUnavailable = 503;
 
@@ -34,9 +35,8 @@
 
   void Run(Yield yield) {
     for (int i = 0; i < kMaxServersTried; ++i) {
-      const auto ready = state_.context.cluster.replicas().FindReady(state_.service->name);
-      const auto replica =
-          state_.context.balancer.Pick(ready, excluded_, !idempotent_, state_.Now());
+      const auto replica = PickServer(yield);
+      if (state_.cancellation.cancelled()) return HandleCancellation(state_, yield);
       if (!replica) break;
       if (state_.send_count > 0 && !budget_.TryAcquire(state_.Now())) {
         last_detail_ = absl::StrCat("retry budget exhausted after: ", last_detail_);
@@ -51,6 +51,21 @@
  private:
   enum class NextStep { kStop, kRetry };
 
+  // The best server whose request limit allows another request, which is charged to it.
+  std::optional<Replica> PickServer(Yield yield) {
+    while (!state_.cancellation.cancelled()) {
+      const auto ready = state_.context.cluster.replicas().FindReady(state_.service->name);
+      const auto replica =
+          state_.context.balancer.Pick(ready, excluded_, !idempotent_, state_.Now());
+      if (!replica || !replica->request_limit.per_second) return replica;
+      const auto decision = state_.context.quota.AdmitRequest(*replica, state_.cancellation, yield);
+      if (decision.admitted) return replica;
+      excluded_.push_back(replica->id);
+      limit_wait_ = std::min(limit_wait_, decision.retry_after);
+    }
+    return std::nullopt;
+  }
+
   NextStep TryServer(const Replica& replica, Yield yield) {
     auto& balancer = state_.context.balancer;
     const absl::Time started = state_.Now();
@@ -168,13 +183,18 @@
                 absl::ZeroDuration(), yield);
       return;
     }
-    const bool none_tried = excluded_.empty();
-    const absl::Duration default_wait = none_tried ? kNoServerRetryAfter : kOverloadRetryAfter;
-    const absl::Duration wait = std::max(default_wait, TimeUntilServerAvailable());
-    SendError(state_, kUnavailable,
-              none_tried ? std::string("no backend server available")
-                         : "no backend server accepted the request: " + last_detail_,
-              wait, yield);
+    if (!last_detail_.empty()) {
+      SendError(state_, kUnavailable, "no backend server accepted the request: " + last_detail_,
+                std::max(kOverloadRetryAfter, TimeUntilServerAvailable()), yield);
+      return;
+    }
+    if (limit_wait_ < absl::InfiniteDuration()) {
+      SendError(state_, kUnavailable, "request limits of the backend servers reached",
+                std::max(kMinLimitRetryAfter, limit_wait_), yield);
+      return;
+    }
+    SendError(state_, kUnavailable, "no backend server available",
+              std::max(kNoServerRetryAfter, TimeUntilServerAvailable()), yield);
   }
 
   // Zero when a server accepts requests now or none is listed.
@@ -191,8 +211,12 @@
   RequestState& state_;
   WindowedRetryBudget& budget_;
   const bool idempotent_;
+  // Servers that were tried or whose request limit is reached.
   std::vector<BackendServerId> excluded_;
+  // Empty until a server is tried.
   std::string last_detail_;
+  // Time until a request limit allows another request; infinite when none has refused one.
+  absl::Duration limit_wait_ = absl::InfiniteDuration();
 };
 
 }  // namespace
--- a/packages/routing/include/marigoldquay/routing/replica_table.h
+++ b/packages/routing/include/marigoldquay/routing/replica_table.h
@@ -78,6 +78,8 @@
   const Replica* Find(absl::string_view id) const;
   /// Returns the replicas of the service that are not draining.
   std::vector<Replica> FindReady(absl::string_view service) const;
+  /// Returns the replicas that have stated a request limit, or that they have none any more.
+  std::vector<Replica> FindWithStatedLimit() const;
   /// Ids of all entries.
   std::vector<BackendServerId> ids() const;
   /// Incremented by every change, so that readers can detect that the table changed.
--- a/packages/routing/src/replica_table.cc
+++ b/packages/routing/src/replica_table.cc
@@ -97,6 +97,14 @@
   return found == replicas_.end() ? nullptr : &found->second;
 }
 
+std::vector<Replica> ReplicaTable::FindWithStatedLimit() const {
+  std::vector<Replica> found;
+  for (const auto& [id, replica] : replicas_) {
+    if (replica.request_limit.stated_at != absl::InfinitePast()) found.push_back(replica);
+  }
+  return found;
+}
+
 std::vector<Replica> ReplicaTable::FindReady(absl::string_view service) const {
   std::vector<Replica> ready;
   for (const auto& [id, replica] : replicas_) {
--- a/tests/platform/platform_limit_test.cc
+++ b/tests/platform/platform_limit_test.cc
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr int kVms = 3;
+// More than the requests per second of a limit, so that no VM has a whole one.
+constexpr int kManyVms = 12;
 constexpr int kCallersPerVm = 2;
 constexpr absl::Duration kPause = absl::Milliseconds(25);
 
@@ -42,8 +44,8 @@
   return options;
 }
 
-void AwaitAll(const World& world) {
-  for (int i = 0; i < kVms; ++i) BOOST_TEST_REQUIRE(world.AwaitReady(i));
+void AwaitAll(const World& world, int vms = kVms) {
+  for (int i = 0; i < vms; ++i) BOOST_TEST_REQUIRE(world.AwaitReady(i));
   // All VMs report to one coordinator by then.
   absl::SleepFor(absl::Seconds(2));
 }
@@ -51,9 +53,10 @@
 /// Callers of all VMs, until it goes out of scope.
 class Callers {
  public:
-  Callers(World& world, std::vector<std::string> paths) : world_(world), paths_(std::move(paths)) {
-    for (int i = 0; i < kVms * kCallersPerVm; ++i) {
-      threads_.emplace_back([this, i] { Run(i % kVms); });
+  Callers(World& world, std::vector<std::string> paths, int vms = kVms)
+      : world_(world), paths_(std::move(paths)) {
+    for (int i = 0; i < vms * kCallersPerVm; ++i) {
+      threads_.emplace_back([this, i, vms] { Run(i % vms); });
     }
   }
   ~Callers() { Stop(); }
@@ -73,6 +76,7 @@
   }
   int served() const { return served_; }
   int refused() const { return refused_; }
+  int without_retry_after() const { return without_retry_after_; }
   absl::Duration longest_refusal() {
     const std::lock_guard<std::mutex> lock(mutex_);
     return longest_refusal_;
@@ -87,22 +91,23 @@
       if (call.path == "/once/x") call.headers = {"Token-Count: 100,10"};
       const absl::Time started = absl::Now();
       const auto reply = world_.Call(vm, call);
-      Record(vm, call.id, reply.status, absl::Now() - started);
+      Record(vm, call.id, reply, absl::Now() - started);
       absl::SleepFor(kPause);
     }
   }
 
-  void Record(int vm, const std::string& id, long status, absl::Duration took) {
+  void Record(int vm, const std::string& id, const ClientResponse& reply, absl::Duration took) {
     const std::lock_guard<std::mutex> lock(mutex_);
     if (vm == disturbed_) {
       excused_.push_back(id);
       return;
     }
-    if (status == 200) {
+    if (reply.status == 200) {
       ++served_;
       return;
     }
     ++refused_;
+    if (reply.headers.count("retry-after") == 0) ++without_retry_after_;
     longest_refusal_ = std::max(longest_refusal_, took);
   }
 
@@ -112,6 +117,7 @@
   std::atomic<int> disturbed_{-1};
   std::atomic<int> served_{0};
   std::atomic<int> refused_{0};
+  std::atomic<int> without_retry_after_{0};
   std::mutex mutex_;
   std::vector<std::string> excused_;
   absl::Duration longest_refusal_;
@@ -175,6 +181,71 @@
   ReportBroken(world, callers.excused());
 }
 
+// Guards against a limit that each VM applies on its own, or rounds up to a request, while the
+// coordinator does not answer.
+BOOST_AUTO_TEST_CASE(limit_below_the_number_of_vms_holds_with_a_frozen_coordinator) {
+  NamedLimit limit{""};
+  auto options = LimitedBy("limit_many_vms", limit);
+  options.vms = kManyVms;
+  World world(options);
+  AwaitAll(world, kManyVms);
+  limit.Set("2");
+  Callers callers(world, {"/order/x", "/status/x"}, kManyVms);
+  absl::SleepFor(absl::Seconds(4));
+  for (int vm = 0; vm < 2; ++vm) {
+    callers.set_disturbed(vm);
+    world.vm(vm).Pause();
+    absl::SleepFor(absl::Seconds(3));
+    world.vm(vm).Resume();
+    absl::SleepFor(absl::Seconds(1));
+  }
+  callers.Stop();
+  ReportBroken(world, callers.excused());
+}
+
+// Guards against requests that wait although all limits are reached, and against servers that get
+// much less than they accept.
+BOOST_AUTO_TEST_CASE(servers_with_limits_serve_what_they_accept) {
+  NamedLimit limit{""};
+  World world(LimitedBy("limit_all", limit));
+  AwaitAll(world);
+  limit.Set("5");
+  Callers callers(world, {"/order/x", "/status/x"});
+  absl::SleepFor(absl::Seconds(3));
+  const int served_before = callers.served();
+  absl::SleepFor(absl::Seconds(8));
+  const int served = callers.served() - served_before;
+  callers.Stop();
+  ReportBroken(world);
+  // Three servers in 8 s.
+  BOOST_TEST(served >= 0.8 * 3 * 5 * 8);
+  BOOST_TEST(callers.refused() > 0);
+  BOOST_TEST(callers.without_retry_after() == 0);
+  BOOST_TEST((callers.longest_refusal() < absl::Milliseconds(400)));
+}
+
+// Guards against a limit that goes on to hold when the server names none any more, and against one
+// that does not hold when it is named again with another number of requests.
+BOOST_AUTO_TEST_CASE(ended_limit_is_lifted_and_a_new_one_holds) {
+  NamedLimit limit{""};
+  World world(LimitedBy("limit_ended", limit));
+  AwaitAll(world);
+  limit.Set("1");
+  Callers callers(world, {"/order/x", "/status/x"});
+  absl::SleepFor(absl::Seconds(4));
+  limit.Set("");
+  absl::SleepFor(absl::Seconds(3));
+  const int refused_before = callers.refused();
+  absl::SleepFor(absl::Seconds(2));
+  BOOST_TEST(callers.refused() == refused_before);
+  for (const std::string value : {"0", "6.5", "unreadable", "3"}) {
+    limit.Set(value);
+    absl::SleepFor(absl::Seconds(5));
+  }
+  callers.Stop();
+  ReportBroken(world);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
