Keep request limits of servers whose entry is missing, and check limits in the soak

Cause: a limit was known only with the entry of its server. A server whose entry expired while the store was away came back without one, and a new coordinator that had not read the list yet dropped the limits that the first reports of the VMs brought; it then granted every request. Change: the replica table keeps the latest limit per instance apart from the entries (at most 500), and applies it once the server is listed. Refusals without a coordinator that knows all VMs tell callers to come back after 0.5 s instead of up to 30. Tests: cluster_view/request_limit_of_an_unlisted_server_holds_once_it_is_listed.

--- a/apps/marigoldquayd/platform_node.cc
+++ b/apps/marigoldquayd/platform_node.cc
@@ -121,9 +121,7 @@
                      {[this] { return std::max(StoreContact(), link_.feed_time()); },
                       [this] { return link_.confirmed_coordinator(); },
                       [this](const BackendServerId& id) { OnLeavingServer(id); },
-                      [this](const BackendServerId& id, const RequestLimit& limit) {
-                        OnRequestLimit(id, limit);
-                      }}),
+                      [this](const StatedRequestLimit& stated) { OnRequestLimit(stated); }}),
         link_(io_, clock_, view_, presence_, *this,
               {[this] { return Self(); }, [this] { return StoreContact(); },
                [this](absl::string_view vm) { return coordinator_.IsReporting(vm); }}),
@@ -135,9 +133,7 @@
         front_({io_, clock_, view_, dialect_, connections_, health_, balancer_, budgets_, link_,
                 link_, [this] { return link_.member_count(); },
                 [this](const BackendServerId& id) { OnLeavingServer(id); },
-                [this](const BackendServerId& id, const RequestLimit& limit) {
-                  OnRequestLimit(id, limit);
-                }}),
+                [this](const StatedRequestLimit& stated) { OnRequestLimit(stated); }}),
         directory_(
             [this] {
               return SampleCallerAddresses(link_.members(), kMaxAddresses, RandomFraction);
@@ -243,13 +239,14 @@
   }
 
   // A backend server has stated a request limit, here or to another VM.
-  void OnRequestLimit(const BackendServerId& id, const RequestLimit& limit) {
-    if (!view_.replicas().SetRequestLimit(id, limit)) return;
+  void OnRequestLimit(const StatedRequestLimit& stated) {
+    if (!view_.replicas().SetRequestLimit(stated)) return;
+    const auto& per_second = stated.limit.per_second;
     LogFields fields;
-    fields.Add("backend_server", id)
-        .Add("per_second", limit.per_second ? absl::StrCat(*limit.per_second) : "none");
+    fields.Add("backend_server", stated.server)
+        .Add("per_second", per_second ? absl::StrCat(*per_second) : "none");
     Log().Event("backend_server_limit", fields);
-    link_.OnRequestLimit(id);
+    link_.OnRequestLimit(stated.server);
     OnReplicaChange();
   }
 
--- a/packages/dispatch/src/quota_account.cc
+++ b/packages/dispatch/src/quota_account.cc
@@ -7,8 +7,9 @@
 namespace marigoldquay {
 namespace {
 
-// Requests per second to a server that accepts fewer. Only its responses tell when the limit ends.
-constexpr double kMinRequestRate = 0.1;
+// Requests per second to a server that accepts fewer. Only its responses tell when the limit ends,
+// and callers may have no other server.
+constexpr double kMinRequestRate = 0.5;
 // Above this rate the limit cannot be reached.
 constexpr double kMaxRequestRate = 1e9;
 // Time in which a server may get requests at once that its rate allows. Short, because a server in
--- a/packages/dispatch/src/stream_scheduler.cc
+++ b/packages/dispatch/src/stream_scheduler.cc
@@ -181,7 +181,7 @@
 bool StreamScheduler::AnyDecodeHasCapacity(const StreamDemand& demand, absl::Time now) {
   return std::any_of(engines_.begin(), engines_.end(), [&](auto& entry) {
     Engine& engine = entry.second;
-    return engine.replica.role == EngineRole::kDecode &&
+    return engine.replica.role == EngineRole::kDecode && AcceptsRequest(engine, now) &&
            HasCapacity(engine, demand, Urgency::kOnTime, now);
   });
 }
--- a/packages/fleet/include/marigoldquay/fleet/coordinator.h
+++ b/packages/fleet/include/marigoldquay/fleet/coordinator.h
@@ -43,7 +43,7 @@
   /// Called when a VM reports that a backend server is leaving.
   std::function<void(const BackendServerId&)> on_leaving_server;
   /// Called with a request limit that a backend server has stated to a VM.
-  std::function<void(const BackendServerId&, const RequestLimit&)> on_request_limit;
+  std::function<void(const StatedRequestLimit&)> on_request_limit;
 };
 
 /// Accepts sessions of VMs, schedules their requests and broadcasts the fleet state. Not
--- a/packages/fleet/src/coordinator.cc
+++ b/packages/fleet/src/coordinator.cc
@@ -201,7 +201,7 @@
   reporting_members_.Set(session.member);
   // Levels and charges below refer to these limits.
   for (const auto& limit : report.request_limits) {
-    hooks_.on_request_limit(limit->server, FromWire(*limit, now));
+    hooks_.on_request_limit(FromWire(*limit, now));
   }
   if (!session.reported) OnFirstReport(session, report);
   if (report.needs_servers) session.sent_replicas_version = 0;
--- a/packages/fleet/src/coordinator_link.cc
+++ b/packages/fleet/src/coordinator_link.cc
@@ -386,9 +386,10 @@
 }
 
 void CoordinatorLink::AddRequestLimits(protocol::FleetReportT& report, bool first) {
-  for (const Replica& server : view_.replicas().FindWithStatedLimit()) {
-    if (!first && !servers_with_new_limit_.contains(server.id)) continue;
-    report.request_limits.push_back(ToWire(server.id, server.request_limit, clock_.Now()));
+  if (!first && servers_with_new_limit_.empty()) return;
+  for (const StatedRequestLimit& stated : view_.replicas().stated_limits()) {
+    if (!first && !servers_with_new_limit_.contains(stated.server)) continue;
+    report.request_limits.push_back(ToWire(stated, clock_.Now()));
   }
   servers_with_new_limit_.clear();
 }
--- a/packages/fleet/src/coordinator_link_placing.cc
+++ b/packages/fleet/src/coordinator_link_placing.cc
@@ -26,7 +26,8 @@
 constexpr absl::Duration kRequestLimitReplyTimeout = absl::Milliseconds(60);
 // Time for which a refusal also applies to subsequent requests of the account.
 constexpr absl::Duration kRefusalCacheTime = absl::Milliseconds(100);
-// Without a coordinator a VM does not queue requests, as it cannot see the load of the others.
+// Retry-After of a refusal without a coordinator that knows all VMs. A VM does not queue requests
+// then, as it cannot see the load of the others.
 constexpr absl::Duration kLocalRetryAfter = absl::Milliseconds(500);
 
 const Logger& Log() {
@@ -362,11 +363,20 @@
                                             Yield yield) {
   const AccountQuota quota = QuotaOf(server);
   if (!quota.limited()) return {true, absl::ZeroDuration()};
-  if (!CoordinatorResponsive()) return AdmitLocally(quota, kRequestCost);
-  const auto decision = AdmitByCoordinator(quota, kRequestCost, cancellation, yield);
-  if (decision) return *decision;
-  refused_until_[quota.account] = clock_.Now() + kRefusalCacheTime;
-  return {false, kRefusalCacheTime};
+  std::optional<QuotaDecision> decision;
+  if (CoordinatorResponsive()) {
+    decision = AdmitByCoordinator(quota, kRequestCost, cancellation, yield);
+  } else {
+    decision = AdmitLocally(quota, kRequestCost);
+    // The share of this VM may take long to allow a request; the coordinator is back before.
+    decision->provisional = true;
+  }
+  if (!decision) {
+    refused_until_[quota.account] = clock_.Now() + kRefusalCacheTime;
+    return {false, kRefusalCacheTime};
+  }
+  if (decision->provisional) decision->retry_after = kLocalRetryAfter;
+  return *decision;
 }
 
 }  // namespace marigoldquay
--- a/packages/fleet/src/coordinator_state.cc
+++ b/packages/fleet/src/coordinator_state.cc
@@ -107,7 +107,7 @@
   for (const auto& workspace : catalog->contents().workspaces) {
     if (workspace.quota.limited()) AddBalance(QuotaOf(workspace), state);
   }
-  for (const Replica& server : view_.replicas().FindWithStatedLimit()) {
+  for (const Replica& server : view_.replicas().FindLimited()) {
     AddBalance(QuotaOf(server), state);
   }
   return state;
--- a/packages/fleet/src/wire.cc
+++ b/packages/fleet/src/wire.cc
@@ -36,20 +36,22 @@
   return member;
 }
 
-std::unique_ptr<protocol::RequestLimitT> ToWire(const BackendServerId& server,
-                                                const RequestLimit& limit, absl::Time now) {
+std::unique_ptr<protocol::RequestLimitT> ToWire(const StatedRequestLimit& stated, absl::Time now) {
   auto wire = std::make_unique<protocol::RequestLimitT>();
-  wire->server = server;
-  wire->per_second = limit.per_second.value_or(kWireNoLimit);
-  wire->age_ms = absl::ToInt64Milliseconds(now - limit.stated_at);
+  wire->server = stated.server;
+  wire->started_unix_ms = stated.started_unix_ms;
+  wire->per_second = stated.limit.per_second.value_or(kWireNoLimit);
+  wire->age_ms = absl::ToInt64Milliseconds(now - stated.limit.stated_at);
   return wire;
 }
 
-RequestLimit FromWire(const protocol::RequestLimitT& wire, absl::Time now) {
-  RequestLimit limit;
-  if (wire.per_second >= 0) limit.per_second = wire.per_second;
-  limit.stated_at = now - absl::Milliseconds(wire.age_ms);
-  return limit;
+StatedRequestLimit FromWire(const protocol::RequestLimitT& wire, absl::Time now) {
+  StatedRequestLimit stated;
+  stated.server = wire.server;
+  stated.started_unix_ms = wire.started_unix_ms;
+  if (wire.per_second >= 0) stated.limit.per_second = wire.per_second;
+  stated.limit.stated_at = now - absl::Milliseconds(wire.age_ms);
+  return stated;
 }
 
 std::unique_ptr<protocol::BackendEntryT> ToWire(const Replica& replica, absl::Time now) {
@@ -63,7 +65,8 @@
   if (replica.role) wire->role = *replica.role == EngineRole::kPrefill ? kWirePrefill : kWireDecode;
   wire->started_unix_ms = replica.started_unix_ms;
   if (replica.request_limit.stated_at != absl::InfinitePast()) {
-    wire->request_limit = ToWire(replica.id, replica.request_limit, now);
+    wire->request_limit =
+        ToWire(StatedRequestLimit{replica.id, replica.started_unix_ms, replica.request_limit}, now);
   }
   return wire;
 }
@@ -79,7 +82,7 @@
   if (wire.role == kWirePrefill) replica.role = EngineRole::kPrefill;
   if (wire.role == kWireDecode) replica.role = EngineRole::kDecode;
   replica.started_unix_ms = wire.started_unix_ms;
-  if (wire.request_limit) replica.request_limit = FromWire(*wire.request_limit, now);
+  if (wire.request_limit) replica.request_limit = FromWire(*wire.request_limit, now).limit;
   return replica;
 }
 
--- a/packages/fleet/src/wire.h
+++ b/packages/fleet/src/wire.h
@@ -18,9 +18,8 @@
 FleetMember FromWire(const protocol::FleetMemberT& wire);
 
 /// Times are sent as ages relative to `now`.
-std::unique_ptr<protocol::RequestLimitT> ToWire(const BackendServerId& server,
-                                                const RequestLimit& limit, absl::Time now);
-RequestLimit FromWire(const protocol::RequestLimitT& wire, absl::Time now);
+std::unique_ptr<protocol::RequestLimitT> ToWire(const StatedRequestLimit& stated, absl::Time now);
+StatedRequestLimit FromWire(const protocol::RequestLimitT& wire, absl::Time now);
 
 std::unique_ptr<protocol::BackendEntryT> ToWire(const Replica& replica, absl::Time now);
 Replica FromWire(const protocol::BackendEntryT& wire, absl::Time now);
--- a/packages/protocol/include/marigoldquay/protocol/inner_generated.h
+++ b/packages/protocol/include/marigoldquay/protocol/inner_generated.h
@@ -4804,6 +4804,7 @@
   std::string server{};
   double per_second = -1.0;
   int64_t age_ms = 0;
+  int64_t started_unix_ms = 0;
 };
 
 struct RequestLimit FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4816,7 +4817,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SERVER = 4,
     VT_PER_SECOND = 6,
-    VT_AGE_MS = 8
+    VT_AGE_MS = 8,
+    VT_STARTED_UNIX_MS = 10
   };
   const flatbuffers::String *server() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVER);
@@ -4827,12 +4829,16 @@
   int64_t age_ms() const {
     return GetField<int64_t>(VT_AGE_MS, 0);
   }
+  int64_t started_unix_ms() const {
+    return GetField<int64_t>(VT_STARTED_UNIX_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_SERVER) &&
            verifier.VerifyString(server()) &&
            VerifyField<double>(verifier, VT_PER_SECOND, 8) &&
            VerifyField<int64_t>(verifier, VT_AGE_MS, 8) &&
+           VerifyField<int64_t>(verifier, VT_STARTED_UNIX_MS, 8) &&
            verifier.EndTable();
   }
   RequestLimitT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4853,6 +4859,9 @@
   void add_age_ms(int64_t age_ms) {
     fbb_.AddElement<int64_t>(RequestLimit::VT_AGE_MS, age_ms, 0);
   }
+  void add_started_unix_ms(int64_t started_unix_ms) {
+    fbb_.AddElement<int64_t>(RequestLimit::VT_STARTED_UNIX_MS, started_unix_ms, 0);
+  }
   explicit RequestLimitBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4869,8 +4878,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> server = 0,
     double per_second = -1.0,
-    int64_t age_ms = 0) {
+    int64_t age_ms = 0,
+    int64_t started_unix_ms = 0) {
   RequestLimitBuilder builder_(_fbb);
+  builder_.add_started_unix_ms(started_unix_ms);
   builder_.add_age_ms(age_ms);
   builder_.add_per_second(per_second);
   builder_.add_server(server);
@@ -4886,13 +4897,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *server = nullptr,
     double per_second = -1.0,
-    int64_t age_ms = 0) {
+    int64_t age_ms = 0,
+    int64_t started_unix_ms = 0) {
   auto server__ = server ? _fbb.CreateString(server) : 0;
   return marigoldquay::protocol::CreateRequestLimit(
       _fbb,
       server__,
       per_second,
-      age_ms);
+      age_ms,
+      started_unix_ms);
 }
 
 flatbuffers::Offset<RequestLimit> CreateRequestLimit(flatbuffers::FlatBufferBuilder &_fbb, const RequestLimitT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -8077,7 +8090,8 @@
   return
       (lhs.server == rhs.server) &&
       (lhs.per_second == rhs.per_second) &&
-      (lhs.age_ms == rhs.age_ms);
+      (lhs.age_ms == rhs.age_ms) &&
+      (lhs.started_unix_ms == rhs.started_unix_ms);
 }
 
 inline bool operator!=(const RequestLimitT &lhs, const RequestLimitT &rhs) {
@@ -8097,6 +8111,7 @@
   { auto _e = server(); if (_e) _o->server = _e->str(); }
   { auto _e = per_second(); _o->per_second = _e; }
   { auto _e = age_ms(); _o->age_ms = _e; }
+  { auto _e = started_unix_ms(); _o->started_unix_ms = _e; }
 }
 
 inline flatbuffers::Offset<RequestLimit> RequestLimit::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RequestLimitT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8110,11 +8125,13 @@
   auto _server = _fbb.CreateString(_o->server);
   auto _per_second = _o->per_second;
   auto _age_ms = _o->age_ms;
+  auto _started_unix_ms = _o->started_unix_ms;
   return marigoldquay::protocol::CreateRequestLimit(
       _fbb,
       _server,
       _per_second,
-      _age_ms);
+      _age_ms,
+      _started_unix_ms);
 }
 
 
--- a/packages/relay/include/marigoldquay/relay/front_handler.h
+++ b/packages/relay/include/marigoldquay/relay/front_handler.h
@@ -56,7 +56,7 @@
   /// Called when a backend server announces that it is shutting down.
   std::function<void(const BackendServerId&)> on_draining_server;
   /// Called with the request limit that a response states, or that it no longer states one.
-  std::function<void(const BackendServerId&, const RequestLimit&)> on_request_limit;
+  std::function<void(const StatedRequestLimit&)> on_request_limit;
 };
 
 /// Handles the requests received at the callers' address.
--- a/packages/relay/src/backend_attempt.cc
+++ b/packages/relay/src/backend_attempt.cc
@@ -95,7 +95,7 @@
 
 AttemptOutcome BackendAttempt::CheckResponseHead() {
   response_ = state_.context.dialect.DecodeResponse(status(), fields());
-  RecordServerState(state_, replica_.id, response_, sent_at_);
+  RecordServerState(state_, replica_, response_, sent_at_);
   if (response_.load) {
     state_.context.balancer.OnLoad(replica_.id, *response_.load, state_.Now());
   }
--- a/packages/relay/src/model_relay.cc
+++ b/packages/relay/src/model_relay.cc
@@ -209,7 +209,7 @@
     if (!reply) return reply.error();
     if (connection->open()) pool.Put(std::move(connection), state_.MaxIdleConnections());
     const auto response = state_.context.dialect.DecodeResponse(reply->status, reply->fields);
-    RecordServerState(state_, engine.id, response, sent_at);
+    RecordServerState(state_, engine, response, sent_at);
     if (!response.request_id.empty() && response.request_id != state_.metadata.id) {
       return Error{ErrorCode::kProtocol, "read prompt", engine.address,
                    "response belongs to another request"};
--- a/packages/relay/src/request_state.cc
+++ b/packages/relay/src/request_state.cc
@@ -18,19 +18,21 @@
 
 // A response without a limit ends one that was stated before the request was sent; it says nothing
 // about a later one, because responses on different connections may overtake each other.
-void RecordRequestLimit(const RequestState& state, const BackendServerId& server,
+void RecordRequestLimit(const RequestState& state, const Replica& server,
                         const BackendResponse& response, absl::Time sent_at) {
   if (response.wrong_instance) return;
   if (response.malformed_request_limit) {
-    RelayLog().Event("backend_server_limit_skipped",
-                     LogFields().Add("request_id", state.metadata.id).Add("backend_server", server),
-                     LogLevel::kWarn);
+    RelayLog().Event(
+        "backend_server_limit_skipped",
+        LogFields().Add("request_id", state.metadata.id).Add("backend_server", server.id),
+        LogLevel::kWarn);
     return;
   }
   if (response.request_limit) {
-    state.context.on_request_limit(server, {response.request_limit, state.Now()});
+    state.context.on_request_limit(
+        {server.id, server.started_unix_ms, {response.request_limit, state.Now()}});
   } else if (response.successful && response.request_id == state.metadata.id) {
-    state.context.on_request_limit(server, {std::nullopt, sent_at});
+    state.context.on_request_limit({server.id, server.started_unix_ms, {std::nullopt, sent_at}});
   }
 }
 
@@ -81,15 +83,15 @@
       .Increment();
 }
 
-void RecordServerState(const RequestState& state, const BackendServerId& server,
+void RecordServerState(const RequestState& state, const Replica& server,
                        const BackendResponse& response, absl::Time sent_at) {
   RecordRequestLimit(state, server, response, sent_at);
-  if (response.draining) state.context.on_draining_server(server);
+  if (response.draining) state.context.on_draining_server(server.id);
   if (!response.retry_after) return;
-  state.context.health.RecordRetryAfter(server, state.Now() + *response.retry_after);
+  state.context.health.RecordRetryAfter(server.id, state.Now() + *response.retry_after);
   LogFields fields;
   fields.Add("request_id", state.metadata.id)
-      .Add("backend_server", server)
+      .Add("backend_server", server.id)
       .Add("retry_after_ms", *response.retry_after);
   RelayLog().Event("backend_server_refuses", fields);
 }
--- a/packages/relay/src/request_state.h
+++ b/packages/relay/src/request_state.h
@@ -56,7 +56,7 @@
 
 /// Records the server state stated in a response (shutdown, Retry-After, request limit),
 /// independently of the outcome of the request, which was sent at `sent_at`.
-void RecordServerState(const RequestState& state, const BackendServerId& server,
+void RecordServerState(const RequestState& state, const Replica& server,
                        const BackendResponse& response, absl::Time sent_at);
 
 /// Relays a request to a plain service, including streams that need no prefill.
--- a/packages/routing/include/marigoldquay/routing/replica_table.h
+++ b/packages/routing/include/marigoldquay/routing/replica_table.h
@@ -30,6 +30,16 @@
   bool operator==(const RequestLimit&) const = default;
 };
 
+/// Request limit of one instance of a backend server.
+struct StatedRequestLimit {
+  BackendServerId server;
+  /// Start time of the instance; see Replica.
+  std::int64_t started_unix_ms = 0;
+  RequestLimit limit;
+
+  bool operator==(const StatedRequestLimit&) const = default;
+};
+
 /// One instance of a backend server; a restart is a new instance.
 struct Replica {
   BackendServerId id;
@@ -64,13 +74,14 @@
  public:
   /// Inserts or updates an entry; returns whether the table changed. An instance that was marked as
   /// draining stays draining, even when an outdated source reports otherwise, and keeps the latest
-  /// request limit that it stated. An entry whose address belongs to a later instance is ignored.
+  /// request limit that it stated, also when its entry was missing in the meantime. An entry whose
+  /// address belongs to a later instance is ignored.
   bool Upsert(Replica replica);
   /// Marks a replica that announced its own shutdown; returns whether the table changed.
   bool MarkDraining(absl::string_view id);
-  /// Records a limit that a replica stated, unless a later one is known; returns whether the number
-  /// of requests changed.
-  bool SetRequestLimit(absl::string_view id, const RequestLimit& limit);
+  /// Records a limit unless a later one of the instance is known; returns whether an entry changed.
+  /// The limit of a replica without an entry holds once it is listed.
+  bool SetRequestLimit(const StatedRequestLimit& stated);
   /// Removes an entry; returns whether it existed.
   bool Remove(absl::string_view id);
 
@@ -78,8 +89,10 @@
   const Replica* Find(absl::string_view id) const;
   /// Returns the replicas of the service that are not draining.
   std::vector<Replica> FindReady(absl::string_view service) const;
-  /// Returns the replicas that have stated a request limit, or that they have none any more.
-  std::vector<Replica> FindWithStatedLimit() const;
+  /// Latest limits of the instances that have stated one, including those that have none any more.
+  std::vector<StatedRequestLimit> stated_limits() const;
+  /// Returns the replicas that have a request limit now.
+  std::vector<Replica> FindLimited() const;
   /// Ids of all entries.
   std::vector<BackendServerId> ids() const;
   /// Incremented by every change, so that readers can detect that the table changed.
@@ -94,6 +107,8 @@
     BackendServerId id;
   };
 
+  // Records the limit; returns the latest one of the instance.
+  RequestLimit UpdateStatedLimit(const StatedRequestLimit& stated);
   void Erase(std::map<BackendServerId, Replica, std::less<>>::iterator entry);
 
   std::map<BackendServerId, Replica, std::less<>> replicas_;
@@ -103,6 +118,8 @@
   std::map<BackendServerId, std::uint64_t, std::less<>> version_by_id_;
   // The most recent removals, oldest first.
   std::deque<Removal> recent_removals_;
+  // Also of replicas without an entry; at most kMaxStatedLimits.
+  std::map<BackendServerId, StatedRequestLimit, std::less<>> stated_limits_;
   std::uint64_t version_ = 0;
 };
 
--- a/packages/routing/src/replica_table.cc
+++ b/packages/routing/src/replica_table.cc
@@ -1,6 +1,7 @@
 // Updates and queries of the table of backend servers.
 #include "marigoldquay/routing/replica_table.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace marigoldquay {
@@ -8,6 +9,8 @@
 
 // Well above the number of removals between two reports to a VM.
 constexpr std::size_t kMaxRecentRemovals = 2000;
+// The limits that were stated last are kept.
+constexpr std::size_t kMaxStatedLimits = 500;
 
 // Whether `stated` replaces `known`. The first statement of a number of requests is kept, so that
 // repetitions are no change.
@@ -31,9 +34,11 @@
     const Replica& current = found->second;
     const bool same_start = current.started_unix_ms == replica.started_unix_ms;
     replica.draining = replica.draining || (same_start && current.draining);
-    if (same_start && !Replaces(replica.request_limit, current.request_limit)) {
-      replica.request_limit = current.request_limit;
-    }
+  }
+  replica.request_limit =
+      UpdateStatedLimit({replica.id, replica.started_unix_ms, replica.request_limit});
+  if (found != replicas_.end()) {
+    const Replica& current = found->second;
     if (current == replica) return false;
     if (current.address != replica.address) id_by_address_.erase(current.address);
   }
@@ -51,11 +56,37 @@
   return true;
 }
 
-bool ReplicaTable::SetRequestLimit(absl::string_view id, const RequestLimit& limit) {
-  const auto found = replicas_.find(id);
-  if (found == replicas_.end() || !Replaces(limit, found->second.request_limit)) return false;
-  found->second.request_limit = limit;
-  version_by_id_[found->first] = ++version_;
+RequestLimit ReplicaTable::UpdateStatedLimit(const StatedRequestLimit& stated) {
+  const auto found = stated_limits_.find(stated.server);
+  const bool known =
+      found != stated_limits_.end() && found->second.started_unix_ms == stated.started_unix_ms;
+  if (known && !Replaces(stated.limit, found->second.limit)) return found->second.limit;
+  if (!known && stated.limit == RequestLimit()) return stated.limit;
+  const bool outdated =
+      found != stated_limits_.end() && found->second.started_unix_ms > stated.started_unix_ms;
+  if (outdated) return stated.limit;
+  stated_limits_[stated.server] = stated;
+  if (stated_limits_.size() > kMaxStatedLimits) {
+    const auto stated_before = [](const auto& a, const auto& b) {
+      return a.second.limit.stated_at < b.second.limit.stated_at;
+    };
+    stated_limits_.erase(
+        std::min_element(stated_limits_.begin(), stated_limits_.end(), stated_before));
+  }
+  return stated.limit;
+}
+
+bool ReplicaTable::SetRequestLimit(const StatedRequestLimit& stated) {
+  const auto found = replicas_.find(stated.server);
+  if (found == replicas_.end()) {
+    UpdateStatedLimit(stated);
+    return false;
+  }
+  Replica& replica = found->second;
+  if (replica.started_unix_ms != stated.started_unix_ms) return false;
+  if (!Replaces(stated.limit, replica.request_limit)) return false;
+  replica.request_limit = UpdateStatedLimit(stated);
+  version_by_id_[replica.id] = ++version_;
   return true;
 }
 
@@ -97,12 +128,18 @@
   return found == replicas_.end() ? nullptr : &found->second;
 }
 
-std::vector<Replica> ReplicaTable::FindWithStatedLimit() const {
-  std::vector<Replica> found;
+std::vector<StatedRequestLimit> ReplicaTable::stated_limits() const {
+  std::vector<StatedRequestLimit> limits;
+  for (const auto& [id, stated] : stated_limits_) limits.push_back(stated);
+  return limits;
+}
+
+std::vector<Replica> ReplicaTable::FindLimited() const {
+  std::vector<Replica> limited;
   for (const auto& [id, replica] : replicas_) {
-    if (replica.request_limit.stated_at != absl::InfinitePast()) found.push_back(replica);
+    if (replica.request_limit.per_second) limited.push_back(replica);
   }
-  return found;
+  return limited;
 }
 
 std::vector<Replica> ReplicaTable::FindReady(absl::string_view service) const {
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -26,6 +26,8 @@
   kServerBehavior,
   kDrainServer,
   kConfigure,
+  /// A backend server names a request limit in its answers.
+  kNameLimit,
 };
 
 /// Something that goes wrong, or an operator's change, from `at` for `length`.
@@ -42,7 +44,8 @@
   std::string ToString() const;
 };
 
-/// Faults in series that overlap, over `length`. The same arguments give the same plan.
+/// Faults in series that overlap, over `length`, and limits of backend servers beside them. The
+/// same arguments give the same plan.
 std::vector<Fault> PlanFaults(std::uint64_t seed, absl::Duration length);
 
 }  // namespace marigoldquay::testing
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
 #include "promises.h"
+#include "request_limits.h"
 
 namespace marigoldquay::testing {
 namespace {
@@ -69,6 +70,10 @@
     const auto found = behaviors_.find(id);
     return found == behaviors_.end() ? ReplicaBehavior::kNormal : found->second;
   };
+  world.request_limit = [this](const std::string& id) {
+    const auto found = limits_.find(id);
+    return found == limits_.end() ? std::string() : found->second;
+  };
   world_ = std::make_unique<World>(world);
   vms_.resize(static_cast<std::size_t>(options_.vms));
   log_.incarnations.assign(static_cast<std::size_t>(options_.vms), 1);
@@ -104,16 +109,23 @@
   world_->Run([&] { ++log_.incarnations[static_cast<std::size_t>(vm)]; });
   world_->StartVm(vm);
   state = VmState();
+  Disturb(vm, absl::ZeroDuration());
+}
+
+void SoakRun::Disturb(int vm, absl::Duration length) {
+  disturbances_.push_back({absl::Now(), absl::Now() + length, vm, ""});
 }
 
 void SoakRun::KillVm(int vm, absl::Duration down) {
   world_->vm(vm).Kill();
+  Disturb(vm, down);
   vms_[static_cast<std::size_t>(vm)].phase = VmPhase::kDown;
   Schedule(down, [this, vm] { RestartVm(vm); });
 }
 
 void SoakRun::PauseVm(int vm, absl::Duration length) {
   world_->vm(vm).Pause();
+  Disturb(vm, length);
   vms_[static_cast<std::size_t>(vm)].disturbed = true;
   Schedule(length, [this, vm] { world_->vm(vm).Resume(); });
 }
@@ -124,6 +136,7 @@
   state.phase = VmPhase::kStopping;
   state.stopping_since = absl::Now();
   state.down = down;
+  Disturb(vm, kStopBound);
   world_->vm(vm).Terminate();
 }
 
@@ -167,6 +180,7 @@
 void SoakRun::BeginServerLink(const Fault& fault) {
   const std::string id = Servers()[fault.target % Servers().size()];
   world_->Run([&] { ApplyLinkFault(world_->server_link(id), fault.variant); });
+  disturbances_.push_back({absl::Now(), absl::Now() + fault.length, -1, id});
   Schedule(fault.length,
            [this, id] { world_->Run([&] { world_->server_link(id).set_fault(LinkFault()); }); });
 }
@@ -192,6 +206,31 @@
   Schedule(fault.length, [this, id] { world_->Announce(id, "ready"); });
 }
 
+void SoakRun::BeginLimit(const Fault& fault) {
+  constexpr const char* kLimits[] = {"0", "0.5", "1", "2.5", "3.2", "6"};
+  const std::string id = Servers()[fault.target % Servers().size()];
+  world_->Run([&] { limits_[id] = kLimits[fault.variant % std::size(kLimits)]; });
+  Schedule(fault.length, [this, id] { world_->Run([&] { limits_.erase(id); }); });
+}
+
+std::vector<std::string> SoakRun::ExcusedFromLimits(const ReplicaLedger& seen) const {
+  std::map<std::string, int> vm_by_request;
+  for (const CallRecord& call : log_.records) vm_by_request[call.id] = call.vm;
+  std::vector<std::string> excused;
+  for (const ReplicaArrival& arrival : seen.arrivals) {
+    const auto vm = vm_by_request.find(arrival.request_id);
+    const bool disturbed = std::any_of(
+        disturbances_.begin(), disturbances_.end(), [&](const Disturbance& disturbance) {
+          const bool during =
+              arrival.at >= disturbance.from && arrival.at <= disturbance.until + kLimitContact;
+          const bool same_vm = vm != vm_by_request.end() && vm->second == disturbance.vm;
+          return during && (same_vm || arrival.replica == disturbance.server);
+        });
+    if (disturbed) excused.push_back(arrival.request_id);
+  }
+  return excused;
+}
+
 void SoakRun::Begin(const Fault& fault) {
   const int vm = static_cast<int>(fault.target % static_cast<std::uint32_t>(options_.vms));
   switch (fault.kind) {
@@ -220,6 +259,8 @@
       return BeginDrain(fault);
     case FaultKind::kConfigure:
       return Configure();
+    case FaultKind::kNameLimit:
+      return BeginLimit(fault);
   }
 }
 
@@ -294,6 +335,9 @@
   const PromiseInput input{log_.records, world_->Seen(), started_,
                            recovered_,   calm_end,       kLimitedRate};
   for (auto& violation : CheckPromises(input)) Report(std::move(violation));
+  for (auto& violation : CheckRequestLimits(input.seen, ExcusedFromLimits(input.seen))) {
+    Report(std::move(violation));
+  }
   return violations_;
 }
 
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -42,6 +42,14 @@
     /// Time from the end of a stop to the next start.
     absl::Duration down;
   };
+  /// A VM or backend server that did not work as usual, or could not be reached.
+  struct Disturbance {
+    absl::Time from;
+    absl::Time until;
+    /// -1 for a backend server.
+    int vm = -1;
+    std::string server;
+  };
   using Action = std::function<void()>;
 
   void Schedule(absl::Duration after, Action action);
@@ -57,6 +65,10 @@
   void BeginServerLink(const Fault& fault);
   void BeginServerBehavior(const Fault& fault);
   void BeginDrain(const Fault& fault);
+  void BeginLimit(const Fault& fault);
+  void Disturb(int vm, absl::Duration length);
+  /// Ids of the requests that request limits need not hold for.
+  std::vector<std::string> ExcusedFromLimits(const ReplicaLedger& seen) const;
   void Configure();
   void StartCallers();
   void AwaitRecovery();
@@ -65,6 +77,9 @@
   const SoakOptions options_;
   /// Behaviour of backend servers that do not act normally; on the thread of the world.
   std::map<std::string, ReplicaBehavior> behaviors_;
+  /// Limits that backend servers name; on the thread of the world.
+  std::map<std::string, std::string> limits_;
+  std::vector<Disturbance> disturbances_;
   CallLog log_;
   std::unique_ptr<World> world_;
   std::vector<std::unique_ptr<SoakCaller>> callers_;
