Ignore a reload signal until its handler is installed

Found by the soak, not related to request limits. Change: main ignores the signal first; the settings are read afterwards, so nothing is lost. The time from exec to main stays open: a process cannot close it itself.

--- a/apps/marigoldquayd/main.cc
+++ b/apps/marigoldquayd/main.cc
@@ -82,4 +82,8 @@
 }  // namespace
 }  // namespace marigoldquay
 
-int main(int argc, char** argv) { return marigoldquay::Main(argc, argv); }
+int main(int argc, char** argv) {
+  // A reload that arrives before its handler is installed must not end the process.
+  std::signal(SIGHUP, SIG_IGN);
+  return marigoldquay::Main(argc, argv);
+}
