--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -140,6 +140,12 @@
   world_->vm(vm).Terminate();
 }
 
+void SoakRun::ReloadVm(int vm) {
+  if (vms_[static_cast<std::size_t>(vm)].phase == VmPhase::kDown) return;
+  if (world_->vm(vm).handles_reload()) return world_->vm(vm).Reload();
+  Schedule(kTick, [this, vm] { ReloadVm(vm); });
+}
+
 void SoakRun::WatchVms() {
   for (int vm = 0; vm < options_.vms; ++vm) {
     auto& state = vms_[static_cast<std::size_t>(vm)];
@@ -244,7 +250,7 @@
     case FaultKind::kStopVm:
       return StopVm(vm, fault.length);
     case FaultKind::kReloadVm:
-      return world_->vm(vm).Reload();
+      return ReloadVm(vm);
     case FaultKind::kStoreOutage:
       return BeginStoreOutage(fault);
     case FaultKind::kCompactStore:
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -59,6 +59,8 @@
   void RestartVm(int vm);
   void PauseVm(int vm, absl::Duration length);
   void StopVm(int vm, absl::Duration down);
+  /// Reloads a VM that is up, once its process handles the signal.
+  void ReloadVm(int vm);
   void WatchVms();
   void BeginStoreOutage(const Fault& fault);
   void BeginStoreLink(const Fault& fault);
--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -6,8 +6,10 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <cstdint>
 #include <fstream>
 #include <iterator>
+#include <sstream>
 #include <stdexcept>
 
 #include "absl/strings/match.h"
@@ -109,6 +111,20 @@
   if (pid_ > 0) kill(pid_, SIGHUP);
 }
 
+bool Process::handles_reload() const {
+  constexpr std::uint64_t kReloadBit = 1U << (SIGHUP - 1);
+  std::istringstream status(ReadFile(absl::StrCat("/proc/", pid_, "/status")));
+  std::string word;
+  std::uint64_t handled = 0;
+  while (status >> word) {
+    if (word != "SigIgn:" && word != "SigCgt:") continue;
+    std::uint64_t mask = 0;
+    status >> std::hex >> mask;
+    handled |= mask;
+  }
+  return (handled & kReloadBit) != 0;
+}
+
 std::optional<int> Process::Wait(absl::Duration timeout) {
   if (pid_ <= 0) return status_;
   int status = 0;
