--- a/packages/dispatch/include/marigoldquay/dispatch/quota_account.h
+++ b/packages/dispatch/include/marigoldquay/dispatch/quota_account.h
@@ -3,8 +3,8 @@
 #ifndef MARIGOLDQUAY_DISPATCH_QUOTA_ACCOUNT_H_
 #define MARIGOLDQUAY_DISPATCH_QUOTA_ACCOUNT_H_
 
-#include <compare>
 #include <string>
+#include <tuple>
 #include <utility>
 
 #include "marigoldquay/core/types.h"
@@ -24,8 +24,10 @@
   /// Name of the workspace or id of the backend server.
   std::string name;
 
-  auto operator<=>(const QuotaAccount&) const = default;
-
+  bool operator==(const QuotaAccount&) const = default;
+  friend bool operator<(const QuotaAccount& a, const QuotaAccount& b) {
+    return std::tie(a.kind, a.name) < std::tie(b.kind, b.name);
+  }
   template <class HashState>
   friend HashState AbslHashValue(HashState state, const QuotaAccount& account) {
     return HashState::combine(std::move(state), account.kind, account.name);
--- a/packages/relay/src/backend_attempt.cc
+++ b/packages/relay/src/backend_attempt.cc
@@ -15,8 +15,6 @@
 // Guards against a faulty server that sends interim responses without end.
 constexpr int kMaxInterimResponses = 8;
 
-bool IsSuccess(unsigned status) { return status >= 200 && status < 300; }
-
 }  // namespace
 
 BackendAttempt::~BackendAttempt() {
@@ -119,7 +117,7 @@
     return Fail(AttemptOutcome::kUnknown, ReplicaOutcome::kUnreachable,
                 "response has a content encoding");
   }
-  if (IsSuccess(status()) && !response_.has_signature) {
+  if (response_.successful && !response_.has_signature) {
     return Fail(AttemptOutcome::kUnknown, ReplicaOutcome::kUnreachable,
                 "response has no signature");
   }
--- a/packages/relay/src/model_relay.cc
+++ b/packages/relay/src/model_relay.cc
@@ -342,8 +342,7 @@
 
   NextStep ForwardResponse(const StreamPlacement& placement, BackendAttempt& attempt,
                            PlacementGuard& guard, Yield yield) {
-    const bool success = attempt.status() >= 200 && attempt.status() < 300;
-    if (!success) return ForwardErrorResponse(attempt, guard, yield);
+    if (!attempt.response().successful) return ForwardErrorResponse(attempt, guard, yield);
     if (!state_.reply.started()) {
       state_.status = attempt.status();
       // The length of a resumable stream may differ from the one that its first server stated.
--- a/packages/relay/src/plain_relay.cc
+++ b/packages/relay/src/plain_relay.cc
@@ -55,8 +55,7 @@
   std::optional<Replica> PickServer(Yield yield) {
     while (!state_.cancellation.cancelled()) {
       const auto ready = state_.context.cluster.replicas().FindReady(state_.service->name);
-      const auto replica =
-          state_.context.balancer.Pick(ready, excluded_, !idempotent_, state_.Now());
+      auto replica = state_.context.balancer.Pick(ready, excluded_, !idempotent_, state_.Now());
       if (!replica || !replica->request_limit.per_second) return replica;
       const auto decision = state_.context.quota.AdmitRequest(*replica, state_.cancellation, yield);
       if (decision.admitted) return replica;
