Read the list of VMs at once on a VM that knows no other one

Cause: a VM that started while it was cut off from the store coordinated itself, so its list held only itself. When that session ended after a pause, it waited 1 to 2 s for the members it knew before it read the list, and 3 s for its own address; meanwhile it placed streams with a tenth of each engine. Change: the wait is for other members that it knows; without any it reads the list at once.

--- a/packages/fleet/src/coordinator_link.cc
+++ b/packages/fleet/src/coordinator_link.cc
@@ -94,7 +94,8 @@
 
 bool CoordinatorLink::NeedsMemberList() const {
   if (connected()) return false;
-  return members_.size() == 0 || clock_.Now() - session_end_time_ > kListReadDelay * (1 + jitter_);
+  const bool knows_others = members_.size() > 1;
+  return !knows_others || clock_.Now() - session_end_time_ > kListReadDelay * (1 + jitter_);
 }
 
 bool CoordinatorLink::ShouldAnnounce() const {
