--- a/packages/routing/src/replica_table.cc
+++ b/packages/routing/src/replica_table.cc
@@ -58,13 +58,14 @@
 
 RequestLimit ReplicaTable::UpdateStatedLimit(const StatedRequestLimit& stated) {
   const auto found = stated_limits_.find(stated.server);
-  const bool known =
-      found != stated_limits_.end() && found->second.started_unix_ms == stated.started_unix_ms;
-  if (known && !Replaces(stated.limit, found->second.limit)) return found->second.limit;
-  if (!known && stated.limit == RequestLimit()) return stated.limit;
-  const bool outdated =
-      found != stated_limits_.end() && found->second.started_unix_ms > stated.started_unix_ms;
-  if (outdated) return stated.limit;
+  if (found != stated_limits_.end()) {
+    const StatedRequestLimit& known = found->second;
+    const bool same_start = known.started_unix_ms == stated.started_unix_ms;
+    if (same_start && !Replaces(stated.limit, known.limit)) return known.limit;
+    if (known.started_unix_ms > stated.started_unix_ms) return stated.limit;
+  }
+  const bool has_stated = stated.limit.stated_at != absl::InfinitePast();
+  if (!has_stated) return stated.limit;
   stated_limits_[stated.server] = stated;
   if (stated_limits_.size() > kMaxStatedLimits) {
     const auto stated_before = [](const auto& a, const auto& b) {
