Keep what a VM knows of quota levels in a class of its own

The coordinator link held the levels that a VM was sent, what it admitted since, recent refusals, and the rule for omitted levels, which the coordinator repeated. QuotaBalances (dispatch) holds them now, can be tested without a network, and states the rule for omitted levels once.

--- a/packages/dispatch/include/marigoldquay/dispatch/fwd.h
+++ b/packages/dispatch/include/marigoldquay/dispatch/fwd.h
@@ -4,6 +4,7 @@
 
 namespace marigoldquay {
 
+class QuotaBalances;
 class QuotaLedger;
 class ReplicaBalancer;
 class ReplicaHealth;
--- a/packages/fleet/include/marigoldquay/fleet/coordinator_link.h
+++ b/packages/fleet/include/marigoldquay/fleet/coordinator_link.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "marigoldquay/core/clock.h"
+#include "marigoldquay/dispatch/quota_balances.h"
 #include "marigoldquay/dispatch/quota_ledger.h"
 #include "marigoldquay/dispatch/stream_scheduler.h"
 #include "marigoldquay/fleet/coordinator.h"
@@ -175,9 +176,6 @@
                                const protocol::PlaceStreamReplyT& reply);
   StreamScheduler& LocalScheduler(const std::string& service);
   double LocalShare() const;
-  // Tokens that this VM may admit without a request to the coordinator until the next state
-  // message.
-  TokenCount LocalAllowance(const AccountQuota& quota) const;
   // Admits the tokens within the last known balance, or requests them; nullopt when the coordinator
   // does not reply.
   std::optional<QuotaDecision> AdmitByCoordinator(const AccountQuota& quota, TokenCount tokens,
@@ -241,19 +239,13 @@
   absl::Time unresponsive_since_;
   // Last session in which a report was sent; the first report of a session carries the balances.
   std::uint64_t reported_session_ = 0;
-  // Balances last sent by a coordinator; accounts that it omits have at least half of their
-  // burst. Kept after the session, for the next coordinator and for the local ledger.
-  std::map<QuotaAccount, TokenCount> balances_;
-  // Tokens admitted locally and not yet reported to the coordinator.
-  std::map<QuotaAccount, TokenCount> spent_since_report_;
+  // Kept after the session, for the next coordinator and for the local ledger.
+  QuotaBalances balances_;
   std::set<BackendServerId> leaving_servers_;
   // Servers whose request limit has to be reported.
   std::set<BackendServerId> servers_with_new_limit_;
   bool needs_servers_ = false;
-  // Tokens admitted locally that are not yet in balances_.
-  std::map<QuotaAccount, TokenCount> spent_since_state_;
-  // Accounts that the coordinator recently refused, and when the refusal expires.
-  std::map<QuotaAccount, absl::Time> refused_until_;
+  // Used while no coordinator responds.
   QuotaLedger local_quota_;
   std::map<std::string, StreamScheduler> local_schedulers_;
 };
--- a/packages/fleet/src/coordinator_link.cc
+++ b/packages/fleet/src/coordinator_link.cc
@@ -318,10 +318,9 @@
   ApplyMembers(state);
   member_count_ = state.member_count;
   report_interval_ = absl::Milliseconds(std::max<std::uint32_t>(state.interval_ms, 50));
-  balances_.clear();
-  for (const auto& entry : state.balances) balances_[AccountFromWire(*entry)] = entry->tokens;
-  // Tokens admitted since the last report are not in these balances yet.
-  spent_since_state_ = spent_since_report_;
+  AccountLevels levels;
+  for (const auto& entry : state.balances) levels[AccountFromWire(*entry)] = entry->tokens;
+  balances_.Update(std::move(levels), clock_.Now());
   ApplyFeed(state);
   FollowRedirect(FromWire(*state.coordinator));
 }
@@ -371,15 +370,14 @@
   report.needs_servers = std::exchange(needs_servers_, false);
   const auto catalog = view_.catalog();
   report.catalog_version = catalog ? catalog->version() : 0;
-  for (const auto& [account, tokens] : spent_since_report_) {
+  for (const auto& [account, tokens] : balances_.TakeUnreported()) {
     report.spent.push_back(ToWire(account, tokens));
   }
-  spent_since_report_.clear();
   const bool first = std::exchange(reported_session_, session_) != session_;
   AddRequestLimits(report, first);
   if (first) {
     report.member_count = static_cast<std::uint32_t>(member_count_);
-    for (const auto& [account, tokens] : balances_) {
+    for (const auto& [account, tokens] : balances_.levels()) {
       report.levels.push_back(ToWire(account, tokens));
     }
   }
@@ -402,7 +400,7 @@
 }
 
 bool CoordinatorLink::ReportIsDue() const {
-  if (!spent_since_report_.empty() || !leaving_servers_.empty() || needs_servers_) return true;
+  if (balances_.has_unreported() || !leaving_servers_.empty() || needs_servers_) return true;
   const absl::Time now = clock_.Now();
   const bool reaches_store = now - hooks_.last_store_contact() < kMaxStoreContactAge;
   // A coordinator that has lost the store hands over to a VM that can reach it.
--- a/packages/fleet/src/coordinator_link_placing.cc
+++ b/packages/fleet/src/coordinator_link_placing.cc
@@ -20,12 +20,8 @@
 constexpr absl::Duration kFailoverPollInterval = absl::Milliseconds(20);
 // Delay before a retry with a coordinator that does not know all VMs yet.
 constexpr absl::Duration kProvisionalRetryDelay = absl::Milliseconds(100);
-// The coordinator omits the balance of accounts with at least burst / kOmittedLevelDivisor tokens.
-constexpr TokenCount kOmittedLevelDivisor = 2;
 // A request can go to another backend server instead of waiting longer for the coordinator.
 constexpr absl::Duration kRequestLimitReplyTimeout = absl::Milliseconds(60);
-// Time for which a refusal also applies to subsequent requests of the account.
-constexpr absl::Duration kRefusalCacheTime = absl::Milliseconds(100);
 // Retry-After of a refusal without a coordinator that knows all VMs. A VM does not queue requests
 // then, as it cannot see the load of the others.
 constexpr absl::Duration kLocalRetryAfter = absl::Milliseconds(500);
@@ -68,7 +64,7 @@
   unresponsive_since_ = clock_.Now();
   local_quota_.Reset();
   local_quota_.SetShare(0);
-  for (const auto& [account, level] : balances_) {
+  for (const auto& [account, level] : balances_.levels()) {
     const auto quota = internal::FindQuota(view_, account);
     if (quota) local_quota_.CapInitialLevel(*quota, level, clock_.Now());
   }
@@ -78,7 +74,7 @@
   local_quota_.SetShare(LocalShare());
   const auto decision = local_quota_.Admit(quota, tokens, clock_.Now());
   // If the coordinator is only slow, the next report includes these tokens.
-  if (decision.admitted && connection_) spent_since_report_[quota.account] += tokens;
+  if (decision.admitted && connection_) balances_.AddUnreported(quota.account, tokens);
   return decision;
 }
 
@@ -294,14 +290,6 @@
   active_placements_.erase(found);
 }
 
-TokenCount CoordinatorLink::LocalAllowance(const AccountQuota& quota) const {
-  const auto found = balances_.find(quota.account);
-  const TokenCount level =
-      found != balances_.end() ? found->second : quota.burst / kOmittedLevelDivisor;
-  // An equal share for each VM, so that all VMs together admit no more than the balance.
-  return std::max<TokenCount>(level, 0) / static_cast<TokenCount>(member_count());
-}
-
 std::optional<QuotaDecision> CoordinatorLink::RequestTokens(const AccountQuota& quota,
                                                             TokenCount tokens,
                                                             Cancellation& cancellation,
@@ -321,7 +309,7 @@
   }
   const absl::Duration retry_after = absl::Milliseconds(reply->retry_after_ms);
   if (reply->provisional) return QuotaDecision{false, retry_after, true};
-  refused_until_[quota.account] = clock_.Now() + std::min(retry_after, kRefusalCacheTime);
+  balances_.OnRefused(quota.account, retry_after, clock_.Now());
   return QuotaDecision{false, retry_after};
 }
 
@@ -329,14 +317,9 @@
                                                                  TokenCount tokens,
                                                                  Cancellation& cancellation,
                                                                  Yield yield) {
-  const auto refused = refused_until_.find(quota.account);
-  if (refused != refused_until_.end() && clock_.Now() < refused->second) {
-    return QuotaDecision{false, refused->second - clock_.Now()};
-  }
-  auto& spent = spent_since_state_[quota.account];
-  if (spent + tokens <= LocalAllowance(quota)) {
-    spent += tokens;
-    spent_since_report_[quota.account] += tokens;
+  const absl::Duration refused = balances_.RefusalTimeLeft(quota.account, clock_.Now());
+  if (refused > absl::ZeroDuration()) return QuotaDecision{false, refused};
+  if (balances_.TryAdmit(quota, tokens, member_count())) {
     return QuotaDecision{true, absl::ZeroDuration()};
   }
   return RequestTokens(quota, tokens, cancellation, yield);
@@ -372,8 +355,9 @@
     decision->provisional = true;
   }
   if (!decision) {
-    refused_until_[quota.account] = clock_.Now() + kRefusalCacheTime;
-    return {false, kRefusalCacheTime};
+    // Subsequent requests use other servers instead of waiting as well.
+    balances_.OnRefused(quota.account, kLocalRetryAfter, clock_.Now());
+    return {false, kLocalRetryAfter};
   }
   if (decision->provisional) decision->retry_after = kLocalRetryAfter;
   return *decision;
--- a/packages/fleet/src/coordinator_state.cc
+++ b/packages/fleet/src/coordinator_state.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "absl/container/flat_hash_set.h"
+#include "marigoldquay/dispatch/quota_balances.h"
 #include "marigoldquay/fleet/coordinator.h"
 #include "wire.h"
 
@@ -116,7 +117,7 @@
 void Coordinator::AddBalance(const AccountQuota& quota, protocol::FleetStateT& state) {
   if (!quota.limited()) return;
   const TokenCount level = quota_.Level(quota, clock_.Now());
-  if (level * 2 >= quota.burst) return;
+  if (QuotaBalances::IsOmitted(quota, level)) return;
   state.balances.push_back(ToWire(quota.account, level));
 }
 
