Log how the response of a backend server was framed

The request line now names what marked the end of the response: length, chunks or the end of the connection. No logic changes.

--- a/packages/relay/src/backend_attempt.cc
+++ b/packages/relay/src/backend_attempt.cc
@@ -121,6 +121,7 @@
     return Fail(AttemptOutcome::kUnknown, ReplicaOutcome::kUnreachable,
                 "response has no signature");
   }
+  state_.framing = framing();
   const bool server_error = status() >= 500;
   state_.context.health.Record(
       replica_.id, server_error ? ReplicaOutcome::kServerError : ReplicaOutcome::kSuccess,
@@ -134,6 +135,11 @@
   return *length;
 }
 
+BodyFraming BackendAttempt::framing() const {
+  if (parser_->chunked()) return BodyFraming::kChunks;
+  return parser_->need_eof() ? BodyFraming::kConnectionEnd : BodyFraming::kLength;
+}
+
 ErrorOrVoid BackendAttempt::ReadSome(std::string& chunk, Yield yield) {
   auto read = connection_->ReadSome(*parser_, chunk, absl::InfiniteDuration(), yield);
   if (!read) {
--- a/packages/relay/src/backend_attempt.h
+++ b/packages/relay/src/backend_attempt.h
@@ -55,6 +55,7 @@
   unsigned status() const { return parser_->get().result_int(); }
   const HttpFields& fields() const { return parser_->get().base(); }
   std::optional<std::uint64_t> content_length() const;
+  BodyFraming framing() const;
   const BackendResponse& response() const { return response_; }
   const Replica& replica() const { return replica_; }
   /// Whether any bytes of the request may have reached the server.
--- a/packages/relay/src/front_handler.cc
+++ b/packages/relay/src/front_handler.cc
@@ -84,6 +84,11 @@
   return false;
 }
 
+absl::string_view ToText(const std::optional<internal::BodyFraming>& framing) {
+  constexpr absl::string_view kTexts[] = {"length", "chunks", "connection_end"};
+  return framing ? kTexts[static_cast<int>(*framing)] : "";
+}
+
 void LogRequest(const RequestState& state) {
   const absl::Duration elapsed = state.Now() - state.arrival_time;
   LogFields fields;
@@ -95,6 +100,7 @@
       .Add("status", static_cast<std::int64_t>(state.status))
       .Add("outcome", state.outcome)
       .Add("backend_server", state.last_server)
+      .Add("framing", ToText(state.framing))
       .Add("arrivals", state.send_count)
       .Add("took_ms", elapsed);
   RelayLog().Event("request", fields);
--- a/packages/relay/src/request_state.h
+++ b/packages/relay/src/request_state.h
@@ -3,6 +3,7 @@
 #define MARIGOLDQUAY_RELAY_SRC_REQUEST_STATE_H_
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "marigoldquay/core/logger.h"
@@ -10,6 +11,9 @@
 
 namespace marigoldquay::internal {
 
+/// What marks the end of a response body.
+enum class BodyFraming { kLength, kChunks, kConnectionEnd };
+
 struct RequestState {
   FrontContext& context;
   HttpRequest& request;
@@ -33,6 +37,8 @@
   int execution_count = 0;
   // Reported in the log event of the request.
   BackendServerId last_server;
+  // Framing of the last response that was accepted from a backend server.
+  std::optional<BodyFraming> framing;
   unsigned status = 0;
   std::string outcome;
 
