Treat an event stream that ends inside an event as broken off

Cause: without length and chunks, the end of the connection is the end of the response for the parser, wherever it comes; the relay then completed its own, chunked, response. Ruled out: RST (an error at every byte), responses with a length or chunks, and the buffering of routes that may be resumed, which dropped the incomplete event but was not the cause.

Change: the relay keeps the last bytes of each event stream, and its end counts only after an empty line; a stream that ends with its connection needs one event at least. A route that may be resumed goes on at another server, others reset the connection of the caller.

--- a/packages/relay/src/backend_attempt.cc
+++ b/packages/relay/src/backend_attempt.cc
@@ -3,6 +3,7 @@
 
 #include <utility>
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 
 namespace marigoldquay::internal {
@@ -135,6 +136,18 @@
   return *length;
 }
 
+bool BackendAttempt::IsEventStream() const {
+  if (state_.route->kind != RequestKind::kStream || !response_.successful) return false;
+  const auto type = ToAbsl(fields()[http::field::content_type]);
+  return type.empty() || absl::StartsWithIgnoreCase(type, "text/event-stream");
+}
+
+bool BackendAttempt::EndedInsideEvent() const {
+  if (!done() || !IsEventStream() || event_boundary_.at_end_of_event()) return false;
+  // Without a length or chunks, a stream without any event may have been cut after its head.
+  return framing() == BodyFraming::kConnectionEnd || !event_boundary_.empty();
+}
+
 BodyFraming BackendAttempt::framing() const {
   if (parser_->chunked()) return BodyFraming::kChunks;
   return parser_->need_eof() ? BodyFraming::kConnectionEnd : BodyFraming::kLength;
@@ -142,6 +155,11 @@
 
 ErrorOrVoid BackendAttempt::ReadSome(std::string& chunk, Yield yield) {
   auto read = connection_->ReadSome(*parser_, chunk, absl::InfiniteDuration(), yield);
+  event_boundary_.Append(chunk);
+  if (read && EndedInsideEvent()) {
+    read = Error{ErrorCode::kProtocol, "read response body", replica_.address,
+                 "the stream ended inside an event"};
+  }
   if (!read) {
     detail_ = read.error().ToString();
     connection_->Close();
--- a/packages/relay/src/backend_attempt.h
+++ b/packages/relay/src/backend_attempt.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "event_splitter.h"
 #include "request_state.h"
 
 namespace marigoldquay::internal {
@@ -45,7 +46,7 @@
   AttemptOutcome Start(const BackendCall& call, const AttemptOptions& options, Yield yield);
 
   /// Reads the next part of the body; empty at its end, when done() is true. An error means that
-  /// the response is incomplete.
+  /// the response is incomplete; so is an event stream that ends inside an event.
   ErrorOrVoid ReadSome(std::string& chunk, Yield yield);
   bool done() const { return parser_->is_done(); }
   /// Appends the rest of the body to `body`. Returns false when `body` has reached `limit` bytes
@@ -68,6 +69,9 @@
   ErrorOrVoid ReadFinalHead(absl::Duration timeout, Yield yield);
   AttemptOutcome Fail(AttemptOutcome outcome, ReplicaOutcome health_outcome, std::string detail);
   AttemptOutcome CheckResponseHead();
+  bool IsEventStream() const;
+  // Whether the body has ended where its framing or its events do not allow an end.
+  bool EndedInsideEvent() const;
 
   RequestState& state_;
   Replica replica_;
@@ -75,6 +79,7 @@
   std::unique_ptr<Cancellation::Hook> close_on_cancel_;
   std::optional<HttpConnection::ResponseParser> parser_;
   BackendResponse response_;
+  EventBoundary event_boundary_;
   bool may_have_reached_ = false;
   absl::Time sent_at_;
   std::string detail_;
--- a/packages/relay/src/event_splitter.cc
+++ b/packages/relay/src/event_splitter.cc
@@ -1,11 +1,18 @@
 // Finds the ends of events and parses their ids.
 #include "event_splitter.h"
 
+#include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
+#include "absl/strings/str_replace.h"
 #include "absl/strings/str_split.h"
 #include "absl/strings/strip.h"
 
 namespace marigoldquay::internal {
+namespace {
+
+constexpr std::size_t kTwoLineEndings = 4;
+
+}  // namespace
 
 void EventSplitter::ParseId(absl::string_view event) {
   for (absl::string_view line : absl::StrSplit(event, '\n')) {
@@ -33,4 +40,15 @@
   return events;
 }
 
+void EventBoundary::Append(absl::string_view bytes) {
+  if (bytes.size() > kTwoLineEndings) bytes.remove_prefix(bytes.size() - kTwoLineEndings);
+  tail_.append(bytes.data(), bytes.size());
+  if (tail_.size() > kTwoLineEndings) tail_.erase(0, tail_.size() - kTwoLineEndings);
+}
+
+bool EventBoundary::at_end_of_event() const {
+  const std::string lines = absl::StrReplaceAll(tail_, {{"\r\n", "\n"}, {"\r", "\n"}});
+  return absl::EndsWith(lines, "\n\n");
+}
+
 }  // namespace marigoldquay::internal
--- a/packages/relay/src/event_splitter.h
+++ b/packages/relay/src/event_splitter.h
@@ -1,5 +1,6 @@
 // Splits a stream of server-sent events (WHATWG HTML, section 9.2) into complete
-// events, so that an interrupted stream can be resumed after the last one.
+// events, so that an interrupted stream can be resumed after the last one, and
+// detects streams that end inside an event.
 #ifndef MARIGOLDQUAY_RELAY_SRC_EVENT_SPLITTER_H_
 #define MARIGOLDQUAY_RELAY_SRC_EVENT_SPLITTER_H_
 
@@ -30,6 +31,20 @@
   std::optional<std::uint64_t> last_id_;
 };
 
+/// Tells whether a stream has ended between two events. Keeps only the last bytes.
+class EventBoundary {
+ public:
+  /// Adds received bytes.
+  void Append(absl::string_view bytes);
+  /// Whether the bytes end with an empty line; false before the first one.
+  bool at_end_of_event() const;
+  bool empty() const { return tail_.empty(); }
+
+ private:
+  // The last bytes, enough for two line endings.
+  std::string tail_;
+};
+
 }  // namespace marigoldquay::internal
 
 #endif  // MARIGOLDQUAY_RELAY_SRC_EVENT_SPLITTER_H_
--- a/packages/relay/tests/event_splitter_test.cc
+++ b/packages/relay/tests/event_splitter_test.cc
@@ -46,6 +46,22 @@
   });
 }
 
+// Guards against an event boundary that is missed since its line endings came in two parts.
+BOOST_AUTO_TEST_CASE(boundary_is_independent_of_chunk_sizes_and_line_endings) {
+  for (const std::string ending : {"\n\n", "\r\n\r\n", "\r\r", "\n\r\n"}) {
+    const std::string event = "data: a" + ending;
+    for (std::size_t split = 0; split <= event.size(); ++split) {
+      EventBoundary boundary;
+      BOOST_TEST(!boundary.at_end_of_event());
+      boundary.Append(event.substr(0, split));
+      boundary.Append(event.substr(split));
+      BOOST_TEST(boundary.at_end_of_event());
+      boundary.Append("d");
+      BOOST_TEST(!boundary.at_end_of_event());
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
