Show that one part of a prompt crashes one engine after the other

The stand-in of a backend server learns the new trouble: it ends under requests whose prompt has a given part, before its first event, and listens again after 2 s as a new start.

Children of the harness close the descriptors that they inherit; the listening socket of a server that had ended stayed open in each daemon.

--- a/tests/platform/broken_off_responses_test.cc
+++ b/tests/platform/broken_off_responses_test.cc
@@ -96,6 +96,11 @@
     (void)placement;
     (void)end;
   }
+  void OnCrash(const EngineCrash& crash) override { (void)crash; }
+  absl::Duration QuarantineTimeLeft(std::span<const PromptPartId> parts) const override {
+    (void)parts;
+    return absl::ZeroDuration();
+  }
 };
 
 class OpenQuota final : public QuotaGate {
--- a/tests/platform/fake_replica.cc
+++ b/tests/platform/fake_replica.cc
@@ -4,6 +4,7 @@
 #include <boost/json.hpp>
 #include <utility>
 
+#include "absl/cleanup/cleanup.h"
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
@@ -40,6 +41,26 @@
       phase_(options_.phase) {
   const auto started = listener_.Start("127.0.0.1:0");
   if (!started) ledger_.violations.push_back(started.error().ToString());
+  address_ = listener_.address();
+}
+
+bool FakeReplica::IsDeadly(const HttpRequest& request) const {
+  if (options_.deadly_part.empty()) return false;
+  return absl::StrContains(Field(request, "Prompt-Prefix"), options_.deadly_part + ":");
+}
+
+void FakeReplica::Crash() {
+  ledger_.crashes.push_back({options_.id, absl::Now()});
+  listener_.StopAccepting();
+  listener_.CloseIdle();
+  for (HttpReplyWriter* reply : replies_) reply->Abort();
+  SpawnFiber(io_, "restart replica", [this](Yield yield) {
+    SleepFor(io_, options_.down_time, yield);
+    ++starts_;
+    const auto started = listener_.Start(address_);
+    if (!started) ledger_.violations.push_back(started.error().ToString());
+    options_.on_restart();
+  });
 }
 
 std::string FakeReplica::Entry(const std::string& state, const Address& address) const {
@@ -51,7 +72,7 @@
                             {"state", state},
                             {"coldLeftMs", 0},
                             {"sequence", 1},
-                            {"born", 1}};
+                            {"born", starts_}};
   if (!phase_.empty()) entry["phase"] = phase_;
   return boost::json::serialize(entry);
 }
@@ -160,6 +181,7 @@
       ledger_.runs[run].cancelled = absl::Now();
       return reply.Abort();
     }
+    if (IsDeadly(request)) return Crash();
     const bool breaks = n == 3 && behavior != ReplicaBehavior::kNormal;
     const std::string event = StreamEvent(id, n);
     (void)reply.Append(breaks ? event.substr(0, event.size() / 2) : event, yield);
@@ -177,6 +199,8 @@
     (void)reply.SendReply(200, HttpFields(), "{}", yield);
     return;
   }
+  replies_.insert(&reply);
+  const absl::Cleanup done = [this, &reply] { replies_.erase(&reply); };
   const std::string id = Field(request, "Attempt-Id");
   HttpFields not_run = CommonFields(id);
   if (Field(request, "Expect-Instance") != options_.id) {
@@ -184,7 +208,8 @@
     return;
   }
   if (request.target() == "/order") return ChangePhase(request, reply, yield);
-  ReplicaArrival arrival{options_.id, id, absl::Now(), std::nullopt};
+  ReplicaArrival arrival{options_.id, id, absl::Now(), std::nullopt,
+                         Field(request, "Prompt-Prefix")};
   double limit = 0;
   if (absl::SimpleAtod(options_.request_limit(), &limit)) arrival.limit = limit;
   ledger_.arrivals.push_back(arrival);
--- a/tests/platform/fake_replica.h
+++ b/tests/platform/fake_replica.h
@@ -66,6 +66,14 @@
   absl::Time at;
   /// Requests per second that the server named in its answers at that time.
   std::optional<double> limit;
+  /// Parts of the prompt, as the request named them.
+  std::string parts;
+};
+
+/// End of a server under a request that it was about to answer.
+struct ReplicaCrash {
+  std::string replica;
+  absl::Time at;
 };
 
 /// One order to change the role of an engine.
@@ -82,6 +90,7 @@
   std::vector<ReplicaArrival> arrivals;
   std::vector<ReplicaRun> runs;
   std::vector<ReplicaOrder> orders;
+  std::vector<ReplicaCrash> crashes;
   /// KV caches that were neither fetched nor freed, with the time at which they were made.
   std::map<std::string, absl::Time> waiting_caches;
   /// When a server turned a request away.
@@ -104,6 +113,12 @@
   std::function<ReplicaBehavior()> behavior = [] { return ReplicaBehavior::kNormal; };
   /// Limit that the server names in all its answers, as header text; empty for none.
   std::function<std::string()> request_limit = [] { return ""; };
+  /// Part of a prompt under which the server ends before its first event; empty for none.
+  std::string deadly_part;
+  /// Time until it listens again.
+  absl::Duration down_time = absl::Seconds(2);
+  /// Called when it listens again.
+  std::function<void()> on_restart = [] {};
 };
 
 class FakeReplica final : public HttpHandler {
@@ -114,7 +129,7 @@
               Yield yield) override;
 
   const ReplicaOptions& options() const { return options_; }
-  Address address() const { return listener_.address(); }
+  const Address& address() const { return address_; }
   /// Its entry in the store, where `address` may be that of a proxy.
   std::string Entry(const std::string& state, const Address& address) const;
   /// Refuses connections from now on.
@@ -131,11 +146,19 @@
   HttpFields CommonFields(const std::string& id) const;
   HttpFields SealedFields(const std::string& id, ReplicaBehavior behavior) const;
   std::size_t Record(const HttpRequest& request);
+  // Whether the request holds the deadly part, which is never its last one.
+  bool IsDeadly(const HttpRequest& request) const;
+  // Ends all connections and refuses new ones for a while; the start after that is a new one.
+  void Crash();
 
   asio::io_context& io_;
   ReplicaLedger& ledger_;
   const ReplicaOptions options_;
   HttpListener listener_;
+  Address address_;
+  int starts_ = 1;
+  // Responses that are being written.
+  std::set<HttpReplyWriter*> replies_;
   int next_cache_ = 1;
   std::string phase_;
   std::int64_t highest_claim_ = 0;
--- a/tests/platform/world.cc
+++ b/tests/platform/world.cc
@@ -105,6 +105,8 @@
   replica.event_gap = options_.event_gap;
   replica.behavior = [this, id] { return options_.behavior(id); };
   replica.request_limit = [this, id] { return options_.request_limit(id); };
+  replica.deadly_part = options_.deadly_part;
+  replica.on_restart = [this, id] { store_->Put("keyed.servers", id, Entry(id, "ready")); };
   replica.on_phase = [this, id] { store_->Put("keyed.servers", id, Entry(id, "ready")); };
   replicas_[id] = std::make_unique<FakeReplica>(io_, ledger_, replica);
   if (options_.proxied) {
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -38,6 +38,8 @@
   };
   /// Time between two events of a stream.
   absl::Duration event_gap = absl::Milliseconds(15);
+  /// Part of a prompt under which engines crash; empty for none.
+  std::string deadly_part;
   bool with_configuration = true;
   /// Puts a LinkProxy before the store, one per VM, and before every backend server.
   bool proxied = false;
--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -61,6 +61,8 @@
   sigprocmask(SIG_SETMASK, &none, nullptr);
   Redirect(out, STDOUT_FILENO);
   Redirect(err, STDERR_FILENO);
+  // A listening socket of the harness would stay open in the child after the harness has closed it.
+  close_range(STDERR_FILENO + 1, ~0U, 0);
   execv(program.c_str(), argv.data());
   _exit(127);
 }
