--- a/packages/core/include/marigoldquay/core/types.h
+++ b/packages/core/include/marigoldquay/core/types.h
@@ -28,6 +28,8 @@
 using Address = std::string;
 /// Number of model tokens.
 using TokenCount = std::int64_t;
+/// Hash of the name of a part that prompts may share.
+using PromptPartId = std::uint64_t;
 /// Position of a record in a log stream.
 using Offset = std::uint64_t;
 
--- a/packages/dispatch/include/marigoldquay/dispatch/fwd.h
+++ b/packages/dispatch/include/marigoldquay/dispatch/fwd.h
@@ -4,6 +4,7 @@
 
 namespace marigoldquay {
 
+class PromptQuarantine;
 class QuotaBalances;
 class QuotaLedger;
 class ReplicaBalancer;
@@ -12,7 +13,9 @@
 class StreamScheduler;
 class WindowedRetryBudget;
 struct AccountQuota;
+struct EngineCrash;
 struct EngineLoad;
+struct QuarantinedPrompt;
 struct QuotaAccount;
 struct QuotaDecision;
 struct ReplicaLoad;
--- a/packages/dispatch/include/marigoldquay/dispatch/stream_scheduler.h
+++ b/packages/dispatch/include/marigoldquay/dispatch/stream_scheduler.h
@@ -10,6 +10,7 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <limits>
 #include <map>
 #include <optional>
@@ -41,6 +42,8 @@
   std::string availability_zone;
   /// Engines that have already failed this request.
   std::vector<BackendServerId> excluded;
+  /// Parts of the prompt that other requests may share.
+  std::vector<PromptPartId> shared_parts;
 
   bool operator==(const StreamDemand&) const = default;
 };
@@ -119,6 +122,14 @@
   /// role, or until `until`.
   void OnRoleChangeAccepted(absl::string_view engine, absl::Time until);
 
+  /// Calls `visit` for every running stream that began to send events before `before`, with the
+  /// time at which it did.
+  void VisitBegun(absl::Time before,
+                  const std::function<void(const StreamDemand&, absl::Time)>& visit) const;
+  /// As VisitBegun, for one stream only.
+  void VisitBegun(std::uint64_t ticket, absl::Time before,
+                  const std::function<void(const StreamDemand&, absl::Time)>& visit) const;
+
   std::size_t waiting() const { return waiting_.size(); }
   std::size_t running() const { return placed_.size(); }
   /// Tokens reserved at the engine; 0 for an unknown engine.
@@ -165,6 +176,8 @@
     absl::Time first_event;
     bool prefilling = true;
     bool started = false;
+    // Another scheduler placed it, so it is unknown when it began.
+    bool adopted = false;
   };
   struct Candidate {
     // Null when the decode engine prefills the prompt itself.
--- a/packages/dispatch/src/stream_scheduler.cc
+++ b/packages/dispatch/src/stream_scheduler.cc
@@ -296,6 +296,7 @@
   const std::uint64_t ticket = next_ticket_++;
   placed_[ticket] = {demand, std::nullopt, decode, now, now, now, /*prefilling=*/false};
   placed_[ticket].started = true;
+  placed_[ticket].adopted = true;
   Engine* engine = Find(decode);
   if (engine != nullptr) {
     engine->reserved += Footprint(demand);
@@ -347,4 +348,20 @@
   return decisions;
 }
 
+void StreamScheduler::VisitBegun(
+    absl::Time before, const std::function<void(const StreamDemand&, absl::Time)>& visit) const {
+  for (const auto& [ticket, placed] : placed_) VisitBegun(ticket, before, visit);
+}
+
+void StreamScheduler::VisitBegun(
+    std::uint64_t ticket, absl::Time before,
+    const std::function<void(const StreamDemand&, absl::Time)>& visit) const {
+  const auto found = placed_.find(ticket);
+  if (found == placed_.end()) return;
+  const PlacedStream& placed = found->second;
+  if (placed.started && !placed.adopted && placed.first_event < before) {
+    visit(placed.demand, placed.first_event);
+  }
+}
+
 }  // namespace marigoldquay
--- a/packages/fleet/include/marigoldquay/fleet/coordinator.h
+++ b/packages/fleet/include/marigoldquay/fleet/coordinator.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "marigoldquay/core/clock.h"
+#include "marigoldquay/dispatch/prompt_quarantine.h"
 #include "marigoldquay/dispatch/quota_ledger.h"
 #include "marigoldquay/dispatch/stream_scheduler.h"
 #include "marigoldquay/fleet/frame_connection.h"
@@ -113,6 +114,11 @@
   void OnPlaceRequest(Session& session, std::uint64_t call_id,
                       const protocol::PlaceStreamRequestT& request);
   void OnProgress(Session& session, const protocol::StreamProgressMessageT& message);
+  // Crashes of engines and quarantined parts that a VM reports.
+  void OnPromptReport(const protocol::FleetReportT& report);
+  void OnCrash(const EngineCrash& crash);
+  // Fills `refusal` and returns true when a part of the prompt is quarantined.
+  bool RefusesPrompt(const StreamDemand& demand, protocol::PlaceStreamReplyT& refusal) const;
   // Charges the tokens of a request to its account; fills `refusal` and returns false when they
   // exceed the rate.
   bool ChargeQuota(const protocol::PlaceStreamRequestT& request,
@@ -154,6 +160,7 @@
   std::map<std::string, StreamScheduler> schedulers_;
   std::map<TicketKey, QueuedPlacement> queued_placements_;
   QuotaLedger quota_{0};
+  PromptQuarantine quarantine_;
   MemberTable reporting_members_;
   // VMs whose session has ended, with the time until which they still count for the quota shares,
   // as they may admit requests on their own until then.
--- a/packages/fleet/include/marigoldquay/fleet/coordinator_link.h
+++ b/packages/fleet/include/marigoldquay/fleet/coordinator_link.h
@@ -3,6 +3,7 @@
 #ifndef MARIGOLDQUAY_FLEET_COORDINATOR_LINK_H_
 #define MARIGOLDQUAY_FLEET_COORDINATOR_LINK_H_
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -12,6 +13,7 @@
 #include <vector>
 
 #include "marigoldquay/core/clock.h"
+#include "marigoldquay/dispatch/prompt_quarantine.h"
 #include "marigoldquay/dispatch/quota_balances.h"
 #include "marigoldquay/dispatch/quota_ledger.h"
 #include "marigoldquay/dispatch/stream_scheduler.h"
@@ -61,6 +63,8 @@
   void OnPrefillEnd(const StreamPlacement& placement, bool ok) override;
   void OnFirstEvent(const StreamPlacement& placement) override;
   void OnEnd(const StreamPlacement& placement, StreamEnd end) override;
+  void OnCrash(const EngineCrash& crash) override;
+  absl::Duration QuarantineTimeLeft(std::span<const PromptPartId> parts) const override;
   QuotaDecision Admit(const CatalogWorkspace& workspace, TokenCount tokens,
                       Cancellation& cancellation, Yield yield) override;
   QuotaDecision AdmitRequest(const Replica& server, Cancellation& cancellation,
@@ -128,6 +132,8 @@
     std::uint64_t ticket = 0;
     // Session for which the ticket is valid.
     std::uint64_t session = 0;
+    // When its first event arrived.
+    absl::Time first_event = absl::InfiniteFuture();
   };
 
   // A call that no fiber waits for: either it registers a running placement with a new coordinator,
@@ -184,6 +190,10 @@
                                              Cancellation& cancellation, Yield yield);
   bool CoordinatorResponsive() const;
   QuotaDecision AdmitLocally(const AccountQuota& quota, TokenCount tokens);
+  // Records that the parts of a stream crash no engine, if it has sent events for long enough.
+  void RecordServed(const ActivePlacement& active, absl::Duration proven_after);
+  // Adds crashes of engines and quarantined parts.
+  void AddPromptReport(protocol::FleetReportT& report, bool first);
   // Adds the request limits to report: all known ones in the first report of a session.
   void AddRequestLimits(protocol::FleetReportT& report, bool first);
   // Switches to local decisions; the local ledger continues from the last known balances.
@@ -244,6 +254,12 @@
   std::set<BackendServerId> leaving_servers_;
   // Servers whose request limit has to be reported.
   std::set<BackendServerId> servers_with_new_limit_;
+  // What this VM knows of prompt parts: its own streams, and what the coordinator has sent.
+  PromptQuarantine quarantine_;
+  // The last crashes that this VM has seen, oldest first; at most kMaxRememberedCrashes.
+  std::deque<EngineCrash> crashes_;
+  // Number of crashes at the end of crashes_ that have not been reported.
+  std::size_t unreported_crashes_ = 0;
   bool needs_servers_ = false;
   // Used while no coordinator responds.
   QuotaLedger local_quota_;
--- a/packages/fleet/src/coordinator.cc
+++ b/packages/fleet/src/coordinator.cc
@@ -206,12 +206,45 @@
   if (!session.reported) OnFirstReport(session, report);
   if (report.needs_servers) session.sent_replicas_version = 0;
   for (const auto& server : report.leaving_servers) hooks_.on_leaving_server(server);
+  OnPromptReport(report);
   for (const auto& entry : report.spent) {
     const auto quota = FindQuota(view_, AccountFromWire(*entry));
     if (quota) quota_.Charge(*quota, entry->tokens, now);
   }
 }
 
+void Coordinator::OnPromptReport(const protocol::FleetReportT& report) {
+  const absl::Time now = clock_.Now();
+  bool changed = false;
+  for (const auto& prompt : report.quarantined) {
+    changed = quarantine_.Adopt(FromWire(*prompt, now), now) || changed;
+  }
+  for (const auto& crash : report.crashes) OnCrash(FromWire(*crash, now));
+  if (changed) TriggerStateBroadcast();
+}
+
+void Coordinator::OnCrash(const EngineCrash& crash) {
+  for (const auto& [service, scheduler] : schedulers_) {
+    scheduler.VisitBegun(clock_.Now() - PromptQuarantine::kProvenAfter,
+                         [&](const StreamDemand& demand, absl::Time began_at) {
+                           quarantine_.OnServed(demand.shared_parts, began_at);
+                         });
+  }
+  const auto added = quarantine_.OnCrash(crash);
+  internal::LogCrash(Log(), crash, added);
+  if (added) TriggerStateBroadcast();
+}
+
+bool Coordinator::RefusesPrompt(const StreamDemand& demand,
+                                protocol::PlaceStreamReplyT& refusal) const {
+  const absl::Duration left = quarantine_.TimeLeft(demand.shared_parts, clock_.Now());
+  if (left <= absl::ZeroDuration()) return false;
+  refusal.status = protocol::PlaceStreamStatus::Refused;
+  refusal.reason = internal::kQuarantinedReason;
+  refusal.retry_after_ms = static_cast<std::uint32_t>(absl::ToInt64Milliseconds(left));
+  return true;
+}
+
 StreamScheduler& Coordinator::SchedulerFor(const std::string& service) {
   const auto found = schedulers_.find(service);
   if (found != schedulers_.end()) return found->second;
@@ -277,11 +310,12 @@
     SendDecision(session, call_id, request.service, adopted);
     return;
   }
-  if (!ChargeQuota(request, refusal)) {
+  const StreamDemand demand = DemandFromWire(request, now);
+  if (RefusesPrompt(demand, refusal) || !ChargeQuota(request, refusal)) {
     session.connection->Send(protocol::MessageType::PlaceStream, call_id, refusal);
     return;
   }
-  const auto decision = scheduler.Place(DemandFromWire(request, now), now);
+  const auto decision = scheduler.Place(demand, now);
   LogDecision(request.request_id, session.member.instance.vm, decision, view_.replicas().version(),
               scheduler.Describe(decision, now));
   if (decision.verdict == StreamVerdict::kQueued) {
@@ -326,6 +360,12 @@
   const absl::Time now = clock_.Now();
   StreamScheduler& scheduler = SchedulerFor(message.service);
   const auto end = [&](StreamEnd outcome) {
+    const absl::Time proven =
+        outcome == StreamEnd::kDone ? now : now - PromptQuarantine::kProvenAfter;
+    scheduler.VisitBegun(message.ticket, proven,
+                         [&](const StreamDemand& demand, absl::Time began_at) {
+                           quarantine_.OnServed(demand.shared_parts, began_at);
+                         });
     queued_placements_.erase({message.service, message.ticket});
     session.tickets.erase({message.service, message.ticket});
     scheduler.OnEnd(message.ticket, outcome, now);
--- a/packages/fleet/src/coordinator_link.cc
+++ b/packages/fleet/src/coordinator_link.cc
@@ -321,6 +321,9 @@
   AccountLevels levels;
   for (const auto& entry : state.balances) levels[AccountFromWire(*entry)] = entry->tokens;
   balances_.Update(std::move(levels), clock_.Now());
+  for (const auto& prompt : state.quarantined) {
+    (void)quarantine_.Adopt(FromWire(*prompt, clock_.Now()), clock_.Now());
+  }
   ApplyFeed(state);
   FollowRedirect(FromWire(*state.coordinator));
 }
@@ -375,6 +378,7 @@
   }
   const bool first = std::exchange(reported_session_, session_) != session_;
   AddRequestLimits(report, first);
+  AddPromptReport(report, first);
   if (first) {
     report.member_count = static_cast<std::uint32_t>(member_count_);
     for (const auto& [account, tokens] : balances_.levels()) {
@@ -393,6 +397,18 @@
   servers_with_new_limit_.clear();
 }
 
+void CoordinatorLink::AddPromptReport(protocol::FleetReportT& report, bool first) {
+  const absl::Time now = clock_.Now();
+  const std::size_t count = first ? crashes_.size() : std::exchange(unreported_crashes_, 0);
+  for (auto crash = crashes_.end() - static_cast<std::ptrdiff_t>(count); crash != crashes_.end();
+       ++crash) {
+    report.crashes.push_back(ToWire(*crash, now));
+  }
+  if (!first) return;
+  unreported_crashes_ = 0;
+  report.quarantined = ToWire(quarantine_, now);
+}
+
 void CoordinatorLink::OnRequestLimit(const BackendServerId& server) {
   servers_with_new_limit_.insert(server);
   // Other VMs send requests to the server meanwhile.
--- a/packages/fleet/src/coordinator_link_placing.cc
+++ b/packages/fleet/src/coordinator_link_placing.cc
@@ -25,6 +25,8 @@
 // Retry-After of a refusal without a coordinator that knows all VMs. A VM does not queue requests
 // then, as it cannot see the load of the others.
 constexpr absl::Duration kLocalRetryAfter = absl::Milliseconds(500);
+// Crashes that are reported to the next coordinator.
+constexpr std::size_t kMaxRememberedCrashes = 32;
 
 const Logger& Log() {
   static const Logger logger("sched");
@@ -172,6 +174,10 @@
 
 PlacementOutcome CoordinatorLink::Place(const StreamPlacementRequest& request,
                                         Cancellation& cancellation, Yield yield) {
+  const absl::Duration quarantine = QuarantineTimeLeft(request.demand.shared_parts);
+  if (quarantine > absl::ZeroDuration()) {
+    return PlacementRefusal{false, quarantine, internal::kQuarantinedReason};
+  }
   const absl::Time until =
       std::min(clock_.Now() + kMaxFailoverWait, request.demand.caller_deadline);
   while (AwaitSession(until, cancellation, yield)) {
@@ -270,6 +276,8 @@
 }
 
 void CoordinatorLink::OnFirstEvent(const StreamPlacement& placement) {
+  const auto active = active_placements_.find(placement.ticket);
+  if (active != active_placements_.end()) active->second.first_event = clock_.Now();
   if (!placement.local) {
     ReportProgress(placement, protocol::StreamStep::FirstEvent);
     return;
@@ -282,6 +290,8 @@
 void CoordinatorLink::OnEnd(const StreamPlacement& placement, StreamEnd end) {
   const auto found = active_placements_.find(placement.ticket);
   if (found == active_placements_.end()) return;
+  RecordServed(found->second,
+               end == StreamEnd::kDone ? absl::ZeroDuration() : PromptQuarantine::kProvenAfter);
   if (placement.local) {
     LocalScheduler(placement.service).OnEnd(found->second.ticket, end, clock_.Now());
   } else {
@@ -290,6 +300,28 @@
   active_placements_.erase(found);
 }
 
+void CoordinatorLink::RecordServed(const ActivePlacement& active, absl::Duration proven_after) {
+  if (clock_.Now() - active.first_event < proven_after) return;
+  if (active.first_event == absl::InfiniteFuture()) return;
+  quarantine_.OnServed(active.demand.shared_parts, active.first_event);
+}
+
+void CoordinatorLink::OnCrash(const EngineCrash& crash) {
+  for (const auto& [ticket, active] : active_placements_) {
+    RecordServed(active, PromptQuarantine::kProvenAfter);
+  }
+  internal::LogCrash(Log(), crash, quarantine_.OnCrash(crash));
+  crashes_.push_back(crash);
+  if (crashes_.size() > kMaxRememberedCrashes) crashes_.pop_front();
+  unreported_crashes_ = std::min(unreported_crashes_ + 1, crashes_.size());
+  // Other VMs get requests with the same part meanwhile.
+  SendReport();
+}
+
+absl::Duration CoordinatorLink::QuarantineTimeLeft(std::span<const PromptPartId> parts) const {
+  return quarantine_.TimeLeft(parts, clock_.Now());
+}
+
 std::optional<QuotaDecision> CoordinatorLink::RequestTokens(const AccountQuota& quota,
                                                             TokenCount tokens,
                                                             Cancellation& cancellation,
--- a/packages/fleet/src/coordinator_state.cc
+++ b/packages/fleet/src/coordinator_state.cc
@@ -102,6 +102,7 @@
   const absl::Duration store_age = clock_.Now() - hooks_.store_read_time();
   state.store_age_ms =
       static_cast<std::uint32_t>(absl::ToInt64Milliseconds(std::min(store_age, kMaxReportedAge)));
+  state.quarantined = ToWire(quarantine_, clock_.Now());
   const auto catalog = view_.catalog();
   if (!catalog) return state;
   state.catalog_version = catalog->version();
--- a/packages/fleet/src/wire.cc
+++ b/packages/fleet/src/wire.cc
@@ -1,6 +1,11 @@
 // Conversions between protocol messages and fleet types.
 #include "wire.h"
 
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+
 namespace marigoldquay::internal {
 namespace {
 
@@ -54,6 +59,50 @@
   return stated;
 }
 
+void LogCrash(const Logger& logger, const EngineCrash& crash,
+              const std::optional<QuarantinedPrompt>& quarantined) {
+  const auto in_hex = [](std::string* out, PromptPartId part) {
+    absl::StrAppend(out, absl::Hex(part, absl::kZeroPad16));
+  };
+  LogFields fields;
+  fields.Add("backend_server", crash.engine)
+      .Add("parts", absl::StrJoin(crash.parts, ",", in_hex))
+      .Add("quarantined", quarantined ? absl::StrJoin(quarantined->parts, ",", in_hex) : "");
+  logger.Event("engine_crash", fields, LogLevel::kWarn);
+}
+
+std::unique_ptr<protocol::EngineCrashT> ToWire(const EngineCrash& crash, absl::Time now) {
+  auto wire = std::make_unique<protocol::EngineCrashT>();
+  wire->engine = crash.engine;
+  wire->parts = crash.parts;
+  wire->age_ms = absl::ToInt64Milliseconds(now - crash.at);
+  return wire;
+}
+
+EngineCrash FromWire(const protocol::EngineCrashT& wire, absl::Time now) {
+  EngineCrash crash;
+  crash.engine = wire.engine;
+  crash.parts = wire.parts;
+  crash.at = now - absl::Milliseconds(std::max<std::int64_t>(wire.age_ms, 0));
+  return crash;
+}
+
+std::vector<std::unique_ptr<protocol::QuarantinedPromptT>> ToWire(
+    const PromptQuarantine& quarantine, absl::Time now) {
+  std::vector<std::unique_ptr<protocol::QuarantinedPromptT>> wires;
+  for (const QuarantinedPrompt& prompt : quarantine.quarantined(now)) {
+    auto wire = std::make_unique<protocol::QuarantinedPromptT>();
+    wire->parts = prompt.parts;
+    wire->left_ms = static_cast<std::uint32_t>(absl::ToInt64Milliseconds(prompt.until - now));
+    wires.push_back(std::move(wire));
+  }
+  return wires;
+}
+
+QuarantinedPrompt FromWire(const protocol::QuarantinedPromptT& wire, absl::Time now) {
+  return {wire.parts, now + absl::Milliseconds(wire.left_ms)};
+}
+
 std::unique_ptr<protocol::BackendEntryT> ToWire(const Replica& replica, absl::Time now) {
   auto wire = std::make_unique<protocol::BackendEntryT>();
   wire->id = replica.id;
@@ -125,6 +174,7 @@
   wire.priority = request.demand.priority;
   wire.availability_zone = request.demand.availability_zone;
   wire.excluded = request.demand.excluded;
+  wire.parts = request.demand.shared_parts;
   return wire;
 }
 
@@ -138,6 +188,7 @@
   demand.priority = wire.priority;
   demand.availability_zone = wire.availability_zone;
   demand.excluded = wire.excluded;
+  demand.shared_parts = wire.parts;
   return demand;
 }
 
--- a/packages/fleet/src/wire.h
+++ b/packages/fleet/src/wire.h
@@ -4,7 +4,10 @@
 
 #include <memory>
 #include <optional>
+#include <vector>
 
+#include "marigoldquay/core/logger.h"
+#include "marigoldquay/dispatch/prompt_quarantine.h"
 #include "marigoldquay/dispatch/quota_account.h"
 #include "marigoldquay/dispatch/stream_scheduler.h"
 #include "marigoldquay/fleet/member.h"
@@ -21,6 +24,17 @@
 std::unique_ptr<protocol::RequestLimitT> ToWire(const StatedRequestLimit& stated, absl::Time now);
 StatedRequestLimit FromWire(const protocol::RequestLimitT& wire, absl::Time now);
 
+/// Reason of a refusal, for callers and the log.
+inline constexpr char kQuarantinedReason[] = "a part of the prompt has crashed backend servers";
+/// Logs a crash under a model request, and the quarantine that begins because of it.
+void LogCrash(const Logger& logger, const EngineCrash& crash,
+              const std::optional<QuarantinedPrompt>& quarantined);
+
+std::unique_ptr<protocol::EngineCrashT> ToWire(const EngineCrash& crash, absl::Time now);
+EngineCrash FromWire(const protocol::EngineCrashT& wire, absl::Time now);
+std::vector<std::unique_ptr<protocol::QuarantinedPromptT>> ToWire(
+    const PromptQuarantine& quarantine, absl::Time now);
+QuarantinedPrompt FromWire(const protocol::QuarantinedPromptT& wire, absl::Time now);
 std::unique_ptr<protocol::BackendEntryT> ToWire(const Replica& replica, absl::Time now);
 Replica FromWire(const protocol::BackendEntryT& wire, absl::Time now);
 
--- a/packages/protocol/include/marigoldquay/protocol/inner_generated.h
+++ b/packages/protocol/include/marigoldquay/protocol/inner_generated.h
@@ -160,6 +160,14 @@
 struct RequestLimitBuilder;
 struct RequestLimitT;
 
+struct EngineCrash;
+struct EngineCrashBuilder;
+struct EngineCrashT;
+
+struct QuarantinedPrompt;
+struct QuarantinedPromptBuilder;
+struct QuarantinedPromptT;
+
 struct FleetReport;
 struct FleetReportBuilder;
 struct FleetReportT;
@@ -256,6 +264,10 @@
 bool operator!=(const AccountTokensT &lhs, const AccountTokensT &rhs);
 bool operator==(const RequestLimitT &lhs, const RequestLimitT &rhs);
 bool operator!=(const RequestLimitT &lhs, const RequestLimitT &rhs);
+bool operator==(const EngineCrashT &lhs, const EngineCrashT &rhs);
+bool operator!=(const EngineCrashT &lhs, const EngineCrashT &rhs);
+bool operator==(const QuarantinedPromptT &lhs, const QuarantinedPromptT &rhs);
+bool operator!=(const QuarantinedPromptT &lhs, const QuarantinedPromptT &rhs);
 bool operator==(const FleetReportT &lhs, const FleetReportT &rhs);
 bool operator!=(const FleetReportT &lhs, const FleetReportT &rhs);
 bool operator==(const BackendEntryT &lhs, const BackendEntryT &rhs);
@@ -4910,6 +4922,196 @@
 
 flatbuffers::Offset<RequestLimit> CreateRequestLimit(flatbuffers::FlatBufferBuilder &_fbb, const RequestLimitT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct EngineCrashT : public flatbuffers::NativeTable {
+  typedef EngineCrash TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "marigoldquay.protocol.EngineCrashT";
+  }
+  std::string engine{};
+  std::vector<uint64_t> parts{};
+  int64_t age_ms = 0;
+};
+
+struct EngineCrash FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EngineCrashT NativeTableType;
+  typedef EngineCrashBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "marigoldquay.protocol.EngineCrash";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENGINE = 4,
+    VT_PARTS = 6,
+    VT_AGE_MS = 8
+  };
+  const flatbuffers::String *engine() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENGINE);
+  }
+  const flatbuffers::Vector<uint64_t> *parts() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_PARTS);
+  }
+  int64_t age_ms() const {
+    return GetField<int64_t>(VT_AGE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_ENGINE) &&
+           verifier.VerifyString(engine()) &&
+           VerifyOffset(verifier, VT_PARTS) &&
+           verifier.VerifyVector(parts()) &&
+           VerifyField<int64_t>(verifier, VT_AGE_MS, 8) &&
+           verifier.EndTable();
+  }
+  EngineCrashT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EngineCrashT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<EngineCrash> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineCrashT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct EngineCrashBuilder {
+  typedef EngineCrash Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_engine(flatbuffers::Offset<flatbuffers::String> engine) {
+    fbb_.AddOffset(EngineCrash::VT_ENGINE, engine);
+  }
+  void add_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts) {
+    fbb_.AddOffset(EngineCrash::VT_PARTS, parts);
+  }
+  void add_age_ms(int64_t age_ms) {
+    fbb_.AddElement<int64_t>(EngineCrash::VT_AGE_MS, age_ms, 0);
+  }
+  explicit EngineCrashBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<EngineCrash> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EngineCrash>(end);
+    fbb_.Required(o, EngineCrash::VT_ENGINE);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<EngineCrash> CreateEngineCrash(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> engine = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0,
+    int64_t age_ms = 0) {
+  EngineCrashBuilder builder_(_fbb);
+  builder_.add_age_ms(age_ms);
+  builder_.add_parts(parts);
+  builder_.add_engine(engine);
+  return builder_.Finish();
+}
+
+struct EngineCrash::Traits {
+  using type = EngineCrash;
+  static auto constexpr Create = CreateEngineCrash;
+};
+
+inline flatbuffers::Offset<EngineCrash> CreateEngineCrashDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *engine = nullptr,
+    const std::vector<uint64_t> *parts = nullptr,
+    int64_t age_ms = 0) {
+  auto engine__ = engine ? _fbb.CreateString(engine) : 0;
+  auto parts__ = parts ? _fbb.CreateVector<uint64_t>(*parts) : 0;
+  return marigoldquay::protocol::CreateEngineCrash(
+      _fbb,
+      engine__,
+      parts__,
+      age_ms);
+}
+
+flatbuffers::Offset<EngineCrash> CreateEngineCrash(flatbuffers::FlatBufferBuilder &_fbb, const EngineCrashT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct QuarantinedPromptT : public flatbuffers::NativeTable {
+  typedef QuarantinedPrompt TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "marigoldquay.protocol.QuarantinedPromptT";
+  }
+  std::vector<uint64_t> parts{};
+  uint32_t left_ms = 0;
+};
+
+struct QuarantinedPrompt FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuarantinedPromptT NativeTableType;
+  typedef QuarantinedPromptBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "marigoldquay.protocol.QuarantinedPrompt";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PARTS = 4,
+    VT_LEFT_MS = 6
+  };
+  const flatbuffers::Vector<uint64_t> *parts() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_PARTS);
+  }
+  uint32_t left_ms() const {
+    return GetField<uint32_t>(VT_LEFT_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_PARTS) &&
+           verifier.VerifyVector(parts()) &&
+           VerifyField<uint32_t>(verifier, VT_LEFT_MS, 4) &&
+           verifier.EndTable();
+  }
+  QuarantinedPromptT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(QuarantinedPromptT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<QuarantinedPrompt> Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuarantinedPromptT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct QuarantinedPromptBuilder {
+  typedef QuarantinedPrompt Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts) {
+    fbb_.AddOffset(QuarantinedPrompt::VT_PARTS, parts);
+  }
+  void add_left_ms(uint32_t left_ms) {
+    fbb_.AddElement<uint32_t>(QuarantinedPrompt::VT_LEFT_MS, left_ms, 0);
+  }
+  explicit QuarantinedPromptBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QuarantinedPrompt> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QuarantinedPrompt>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QuarantinedPrompt> CreateQuarantinedPrompt(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0,
+    uint32_t left_ms = 0) {
+  QuarantinedPromptBuilder builder_(_fbb);
+  builder_.add_left_ms(left_ms);
+  builder_.add_parts(parts);
+  return builder_.Finish();
+}
+
+struct QuarantinedPrompt::Traits {
+  using type = QuarantinedPrompt;
+  static auto constexpr Create = CreateQuarantinedPrompt;
+};
+
+inline flatbuffers::Offset<QuarantinedPrompt> CreateQuarantinedPromptDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<uint64_t> *parts = nullptr,
+    uint32_t left_ms = 0) {
+  auto parts__ = parts ? _fbb.CreateVector<uint64_t>(*parts) : 0;
+  return marigoldquay::protocol::CreateQuarantinedPrompt(
+      _fbb,
+      parts__,
+      left_ms);
+}
+
+flatbuffers::Offset<QuarantinedPrompt> CreateQuarantinedPrompt(flatbuffers::FlatBufferBuilder &_fbb, const QuarantinedPromptT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct FleetReportT : public flatbuffers::NativeTable {
   typedef FleetReport TableType;
   static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
@@ -4924,6 +5126,8 @@
   uint64_t catalog_version = 0;
   bool needs_servers = false;
   std::vector<std::unique_ptr<marigoldquay::protocol::RequestLimitT>> request_limits{};
+  std::vector<std::unique_ptr<marigoldquay::protocol::EngineCrashT>> crashes{};
+  std::vector<std::unique_ptr<marigoldquay::protocol::QuarantinedPromptT>> quarantined{};
   FleetReportT() = default;
   FleetReportT(const FleetReportT &o);
   FleetReportT(FleetReportT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4946,7 +5150,9 @@
     VT_LEAVING_SERVERS = 14,
     VT_CATALOG_VERSION = 16,
     VT_NEEDS_SERVERS = 18,
-    VT_REQUEST_LIMITS = 20
+    VT_REQUEST_LIMITS = 20,
+    VT_CRASHES = 22,
+    VT_QUARANTINED = 24
   };
   const marigoldquay::protocol::FleetMember *sender() const {
     return GetPointer<const marigoldquay::protocol::FleetMember *>(VT_SENDER);
@@ -4975,6 +5181,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::RequestLimit>> *request_limits() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::RequestLimit>> *>(VT_REQUEST_LIMITS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::EngineCrash>> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::EngineCrash>> *>(VT_CRASHES);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>> *quarantined() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>> *>(VT_QUARANTINED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_SENDER) &&
@@ -4995,6 +5207,12 @@
            VerifyOffset(verifier, VT_REQUEST_LIMITS) &&
            verifier.VerifyVector(request_limits()) &&
            verifier.VerifyVectorOfTables(request_limits()) &&
+           VerifyOffset(verifier, VT_CRASHES) &&
+           verifier.VerifyVector(crashes()) &&
+           verifier.VerifyVectorOfTables(crashes()) &&
+           VerifyOffset(verifier, VT_QUARANTINED) &&
+           verifier.VerifyVector(quarantined()) &&
+           verifier.VerifyVectorOfTables(quarantined()) &&
            verifier.EndTable();
   }
   FleetReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5033,6 +5251,12 @@
   void add_request_limits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::RequestLimit>>> request_limits) {
     fbb_.AddOffset(FleetReport::VT_REQUEST_LIMITS, request_limits);
   }
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::EngineCrash>>> crashes) {
+    fbb_.AddOffset(FleetReport::VT_CRASHES, crashes);
+  }
+  void add_quarantined(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>>> quarantined) {
+    fbb_.AddOffset(FleetReport::VT_QUARANTINED, quarantined);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5055,9 +5279,13 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> leaving_servers = 0,
     uint64_t catalog_version = 0,
     bool needs_servers = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::RequestLimit>>> request_limits = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::RequestLimit>>> request_limits = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::EngineCrash>>> crashes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>>> quarantined = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_catalog_version(catalog_version);
+  builder_.add_quarantined(quarantined);
+  builder_.add_crashes(crashes);
   builder_.add_request_limits(request_limits);
   builder_.add_leaving_servers(leaving_servers);
   builder_.add_store_age_ms(store_age_ms);
@@ -5084,11 +5312,15 @@
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *leaving_servers = nullptr,
     uint64_t catalog_version = 0,
     bool needs_servers = false,
-    const std::vector<flatbuffers::Offset<marigoldquay::protocol::RequestLimit>> *request_limits = nullptr) {
+    const std::vector<flatbuffers::Offset<marigoldquay::protocol::RequestLimit>> *request_limits = nullptr,
+    const std::vector<flatbuffers::Offset<marigoldquay::protocol::EngineCrash>> *crashes = nullptr,
+    const std::vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>> *quarantined = nullptr) {
   auto spent__ = spent ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::AccountTokens>>(*spent) : 0;
   auto levels__ = levels ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::AccountTokens>>(*levels) : 0;
   auto leaving_servers__ = leaving_servers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*leaving_servers) : 0;
   auto request_limits__ = request_limits ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::RequestLimit>>(*request_limits) : 0;
+  auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::EngineCrash>>(*crashes) : 0;
+  auto quarantined__ = quarantined ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>>(*quarantined) : 0;
   return marigoldquay::protocol::CreateFleetReport(
       _fbb,
       sender,
@@ -5099,7 +5331,9 @@
       leaving_servers__,
       catalog_version,
       needs_servers,
-      request_limits__);
+      request_limits__,
+      crashes__,
+      quarantined__);
 }
 
 flatbuffers::Offset<FleetReport> CreateFleetReport(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5312,6 +5546,7 @@
   bool whole_servers = false;
   std::vector<std::string> removed_members{};
   std::vector<uint8_t> catalog{};
+  std::vector<std::unique_ptr<marigoldquay::protocol::QuarantinedPromptT>> quarantined{};
   FleetStateT() = default;
   FleetStateT(const FleetStateT &o);
   FleetStateT(FleetStateT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -5338,7 +5573,8 @@
     VT_REMOVED_SERVERS = 22,
     VT_WHOLE_SERVERS = 24,
     VT_REMOVED_MEMBERS = 26,
-    VT_CATALOG = 28
+    VT_CATALOG = 28,
+    VT_QUARANTINED = 30
   };
   const marigoldquay::protocol::FleetMember *coordinator() const {
     return GetPointer<const marigoldquay::protocol::FleetMember *>(VT_COORDINATOR);
@@ -5379,6 +5615,9 @@
   const flatbuffers::Vector<uint8_t> *catalog() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_CATALOG);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>> *quarantined() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>> *>(VT_QUARANTINED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_COORDINATOR) &&
@@ -5406,6 +5645,9 @@
            verifier.VerifyVectorOfStrings(removed_members()) &&
            VerifyOffset(verifier, VT_CATALOG) &&
            verifier.VerifyVector(catalog()) &&
+           VerifyOffset(verifier, VT_QUARANTINED) &&
+           verifier.VerifyVector(quarantined()) &&
+           verifier.VerifyVectorOfTables(quarantined()) &&
            verifier.EndTable();
   }
   FleetStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5456,6 +5698,9 @@
   void add_catalog(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> catalog) {
     fbb_.AddOffset(FleetState::VT_CATALOG, catalog);
   }
+  void add_quarantined(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>>> quarantined) {
+    fbb_.AddOffset(FleetState::VT_QUARANTINED, quarantined);
+  }
   explicit FleetStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5482,9 +5727,11 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> removed_servers = 0,
     bool whole_servers = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> removed_members = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> catalog = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> catalog = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>>> quarantined = 0) {
   FleetStateBuilder builder_(_fbb);
   builder_.add_catalog_version(catalog_version);
+  builder_.add_quarantined(quarantined);
   builder_.add_catalog(catalog);
   builder_.add_removed_members(removed_members);
   builder_.add_removed_servers(removed_servers);
@@ -5519,13 +5766,15 @@
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *removed_servers = nullptr,
     bool whole_servers = false,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *removed_members = nullptr,
-    const std::vector<uint8_t> *catalog = nullptr) {
+    const std::vector<uint8_t> *catalog = nullptr,
+    const std::vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>> *quarantined = nullptr) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::FleetMember>>(*members) : 0;
   auto balances__ = balances ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::AccountTokens>>(*balances) : 0;
   auto backend_servers__ = backend_servers ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::BackendEntry>>(*backend_servers) : 0;
   auto removed_servers__ = removed_servers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*removed_servers) : 0;
   auto removed_members__ = removed_members ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*removed_members) : 0;
   auto catalog__ = catalog ? _fbb.CreateVector<uint8_t>(*catalog) : 0;
+  auto quarantined__ = quarantined ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>>(*quarantined) : 0;
   return marigoldquay::protocol::CreateFleetState(
       _fbb,
       coordinator,
@@ -5540,7 +5789,8 @@
       removed_servers__,
       whole_servers,
       removed_members__,
-      catalog__);
+      catalog__,
+      quarantined__);
 }
 
 flatbuffers::Offset<FleetState> CreateFleetState(flatbuffers::FlatBufferBuilder &_fbb, const FleetStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5563,6 +5813,7 @@
   std::vector<std::string> excluded{};
   std::string running_on{};
   std::string charged_server{};
+  std::vector<uint64_t> parts{};
 };
 
 struct PlaceStreamRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -5585,7 +5836,8 @@
     VT_AVAILABILITY_ZONE = 22,
     VT_EXCLUDED = 24,
     VT_RUNNING_ON = 26,
-    VT_CHARGED_SERVER = 28
+    VT_CHARGED_SERVER = 28,
+    VT_PARTS = 30
   };
   const flatbuffers::String *request_id() const {
     return GetPointer<const flatbuffers::String *>(VT_REQUEST_ID);
@@ -5626,6 +5878,9 @@
   const flatbuffers::String *charged_server() const {
     return GetPointer<const flatbuffers::String *>(VT_CHARGED_SERVER);
   }
+  const flatbuffers::Vector<uint64_t> *parts() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_PARTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_REQUEST_ID) &&
@@ -5649,6 +5904,8 @@
            verifier.VerifyString(running_on()) &&
            VerifyOffset(verifier, VT_CHARGED_SERVER) &&
            verifier.VerifyString(charged_server()) &&
+           VerifyOffset(verifier, VT_PARTS) &&
+           verifier.VerifyVector(parts()) &&
            verifier.EndTable();
   }
   PlaceStreamRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5699,6 +5956,9 @@
   void add_charged_server(flatbuffers::Offset<flatbuffers::String> charged_server) {
     fbb_.AddOffset(PlaceStreamRequest::VT_CHARGED_SERVER, charged_server);
   }
+  void add_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts) {
+    fbb_.AddOffset(PlaceStreamRequest::VT_PARTS, parts);
+  }
   explicit PlaceStreamRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5726,11 +5986,13 @@
     flatbuffers::Offset<flatbuffers::String> availability_zone = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> excluded = 0,
     flatbuffers::Offset<flatbuffers::String> running_on = 0,
-    flatbuffers::Offset<flatbuffers::String> charged_server = 0) {
+    flatbuffers::Offset<flatbuffers::String> charged_server = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0) {
   PlaceStreamRequestBuilder builder_(_fbb);
   builder_.add_output_tokens(output_tokens);
   builder_.add_prompt_tokens(prompt_tokens);
   builder_.add_charge(charge);
+  builder_.add_parts(parts);
   builder_.add_charged_server(charged_server);
   builder_.add_running_on(running_on);
   builder_.add_excluded(excluded);
@@ -5763,7 +6025,8 @@
     const char *availability_zone = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *excluded = nullptr,
     const char *running_on = nullptr,
-    const char *charged_server = nullptr) {
+    const char *charged_server = nullptr,
+    const std::vector<uint64_t> *parts = nullptr) {
   auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
@@ -5771,6 +6034,7 @@
   auto excluded__ = excluded ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*excluded) : 0;
   auto running_on__ = running_on ? _fbb.CreateString(running_on) : 0;
   auto charged_server__ = charged_server ? _fbb.CreateString(charged_server) : 0;
+  auto parts__ = parts ? _fbb.CreateVector<uint64_t>(*parts) : 0;
   return marigoldquay::protocol::CreatePlaceStreamRequest(
       _fbb,
       request_id__,
@@ -5785,7 +6049,8 @@
       availability_zone__,
       excluded__,
       running_on__,
-      charged_server__);
+      charged_server__,
+      parts__);
 }
 
 flatbuffers::Offset<PlaceStreamRequest> CreatePlaceStreamRequest(flatbuffers::FlatBufferBuilder &_fbb, const PlaceStreamRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -8135,6 +8400,92 @@
 }
 
 
+inline bool operator==(const EngineCrashT &lhs, const EngineCrashT &rhs) {
+  return
+      (lhs.engine == rhs.engine) &&
+      (lhs.parts == rhs.parts) &&
+      (lhs.age_ms == rhs.age_ms);
+}
+
+inline bool operator!=(const EngineCrashT &lhs, const EngineCrashT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline EngineCrashT *EngineCrash::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<EngineCrashT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void EngineCrash::UnPackTo(EngineCrashT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = engine(); if (_e) _o->engine = _e->str(); }
+  { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = _e->Get(_i); } } }
+  { auto _e = age_ms(); _o->age_ms = _e; }
+}
+
+inline flatbuffers::Offset<EngineCrash> EngineCrash::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineCrashT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEngineCrash(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<EngineCrash> CreateEngineCrash(flatbuffers::FlatBufferBuilder &_fbb, const EngineCrashT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EngineCrashT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _engine = _fbb.CreateString(_o->engine);
+  auto _parts = _o->parts.size() ? _fbb.CreateVector(_o->parts) : 0;
+  auto _age_ms = _o->age_ms;
+  return marigoldquay::protocol::CreateEngineCrash(
+      _fbb,
+      _engine,
+      _parts,
+      _age_ms);
+}
+
+
+inline bool operator==(const QuarantinedPromptT &lhs, const QuarantinedPromptT &rhs) {
+  return
+      (lhs.parts == rhs.parts) &&
+      (lhs.left_ms == rhs.left_ms);
+}
+
+inline bool operator!=(const QuarantinedPromptT &lhs, const QuarantinedPromptT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline QuarantinedPromptT *QuarantinedPrompt::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<QuarantinedPromptT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void QuarantinedPrompt::UnPackTo(QuarantinedPromptT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = _e->Get(_i); } } }
+  { auto _e = left_ms(); _o->left_ms = _e; }
+}
+
+inline flatbuffers::Offset<QuarantinedPrompt> QuarantinedPrompt::Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuarantinedPromptT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateQuarantinedPrompt(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<QuarantinedPrompt> CreateQuarantinedPrompt(flatbuffers::FlatBufferBuilder &_fbb, const QuarantinedPromptT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const QuarantinedPromptT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _parts = _o->parts.size() ? _fbb.CreateVector(_o->parts) : 0;
+  auto _left_ms = _o->left_ms;
+  return marigoldquay::protocol::CreateQuarantinedPrompt(
+      _fbb,
+      _parts,
+      _left_ms);
+}
+
+
 inline bool operator==(const FleetReportT &lhs, const FleetReportT &rhs) {
   return
       ((lhs.sender == rhs.sender) || (lhs.sender && rhs.sender && *lhs.sender == *rhs.sender)) &&
@@ -8145,7 +8496,9 @@
       (lhs.leaving_servers == rhs.leaving_servers) &&
       (lhs.catalog_version == rhs.catalog_version) &&
       (lhs.needs_servers == rhs.needs_servers) &&
-      (lhs.request_limits.size() == rhs.request_limits.size() && std::equal(lhs.request_limits.cbegin(), lhs.request_limits.cend(), rhs.request_limits.cbegin(), [](std::unique_ptr<marigoldquay::protocol::RequestLimitT> const &a, std::unique_ptr<marigoldquay::protocol::RequestLimitT> const &b) { return (a == b) || (a && b && *a == *b); }));
+      (lhs.request_limits.size() == rhs.request_limits.size() && std::equal(lhs.request_limits.cbegin(), lhs.request_limits.cend(), rhs.request_limits.cbegin(), [](std::unique_ptr<marigoldquay::protocol::RequestLimitT> const &a, std::unique_ptr<marigoldquay::protocol::RequestLimitT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
+      (lhs.crashes.size() == rhs.crashes.size() && std::equal(lhs.crashes.cbegin(), lhs.crashes.cend(), rhs.crashes.cbegin(), [](std::unique_ptr<marigoldquay::protocol::EngineCrashT> const &a, std::unique_ptr<marigoldquay::protocol::EngineCrashT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
+      (lhs.quarantined.size() == rhs.quarantined.size() && std::equal(lhs.quarantined.cbegin(), lhs.quarantined.cend(), rhs.quarantined.cbegin(), [](std::unique_ptr<marigoldquay::protocol::QuarantinedPromptT> const &a, std::unique_ptr<marigoldquay::protocol::QuarantinedPromptT> const &b) { return (a == b) || (a && b && *a == *b); }));
 }
 
 inline bool operator!=(const FleetReportT &lhs, const FleetReportT &rhs) {
@@ -8166,6 +8519,10 @@
   for (const auto &levels_ : o.levels) { levels.emplace_back((levels_) ? new marigoldquay::protocol::AccountTokensT(*levels_) : nullptr); }
   request_limits.reserve(o.request_limits.size());
   for (const auto &request_limits_ : o.request_limits) { request_limits.emplace_back((request_limits_) ? new marigoldquay::protocol::RequestLimitT(*request_limits_) : nullptr); }
+  crashes.reserve(o.crashes.size());
+  for (const auto &crashes_ : o.crashes) { crashes.emplace_back((crashes_) ? new marigoldquay::protocol::EngineCrashT(*crashes_) : nullptr); }
+  quarantined.reserve(o.quarantined.size());
+  for (const auto &quarantined_ : o.quarantined) { quarantined.emplace_back((quarantined_) ? new marigoldquay::protocol::QuarantinedPromptT(*quarantined_) : nullptr); }
 }
 
 inline FleetReportT &FleetReportT::operator=(FleetReportT o) FLATBUFFERS_NOEXCEPT {
@@ -8178,6 +8535,8 @@
   std::swap(catalog_version, o.catalog_version);
   std::swap(needs_servers, o.needs_servers);
   std::swap(request_limits, o.request_limits);
+  std::swap(crashes, o.crashes);
+  std::swap(quarantined, o.quarantined);
   return *this;
 }
 
@@ -8199,6 +8558,8 @@
   { auto _e = catalog_version(); _o->catalog_version = _e; }
   { auto _e = needs_servers(); _o->needs_servers = _e; }
   { auto _e = request_limits(); if (_e) { _o->request_limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->request_limits[_i] = std::unique_ptr<marigoldquay::protocol::RequestLimitT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = std::unique_ptr<marigoldquay::protocol::EngineCrashT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = quarantined(); if (_e) { _o->quarantined.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->quarantined[_i] = std::unique_ptr<marigoldquay::protocol::QuarantinedPromptT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<FleetReport> FleetReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8218,6 +8579,8 @@
   auto _catalog_version = _o->catalog_version;
   auto _needs_servers = _o->needs_servers;
   auto _request_limits = _o->request_limits.size() ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::RequestLimit>> (_o->request_limits.size(), [](size_t i, _VectorArgs *__va) { return CreateRequestLimit(*__va->__fbb, __va->__o->request_limits[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _crashes = _o->crashes.size() ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::EngineCrash>> (_o->crashes.size(), [](size_t i, _VectorArgs *__va) { return CreateEngineCrash(*__va->__fbb, __va->__o->crashes[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _quarantined = _o->quarantined.size() ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>> (_o->quarantined.size(), [](size_t i, _VectorArgs *__va) { return CreateQuarantinedPrompt(*__va->__fbb, __va->__o->quarantined[i].get(), __va->__rehasher); }, &_va ) : 0;
   return marigoldquay::protocol::CreateFleetReport(
       _fbb,
       _sender,
@@ -8228,7 +8591,9 @@
       _leaving_servers,
       _catalog_version,
       _needs_servers,
-      _request_limits);
+      _request_limits,
+      _crashes,
+      _quarantined);
 }
 
 
@@ -8340,7 +8705,8 @@
       (lhs.removed_servers == rhs.removed_servers) &&
       (lhs.whole_servers == rhs.whole_servers) &&
       (lhs.removed_members == rhs.removed_members) &&
-      (lhs.catalog == rhs.catalog);
+      (lhs.catalog == rhs.catalog) &&
+      (lhs.quarantined.size() == rhs.quarantined.size() && std::equal(lhs.quarantined.cbegin(), lhs.quarantined.cend(), rhs.quarantined.cbegin(), [](std::unique_ptr<marigoldquay::protocol::QuarantinedPromptT> const &a, std::unique_ptr<marigoldquay::protocol::QuarantinedPromptT> const &b) { return (a == b) || (a && b && *a == *b); }));
 }
 
 inline bool operator!=(const FleetStateT &lhs, const FleetStateT &rhs) {
@@ -8365,6 +8731,8 @@
   for (const auto &balances_ : o.balances) { balances.emplace_back((balances_) ? new marigoldquay::protocol::AccountTokensT(*balances_) : nullptr); }
   backend_servers.reserve(o.backend_servers.size());
   for (const auto &backend_servers_ : o.backend_servers) { backend_servers.emplace_back((backend_servers_) ? new marigoldquay::protocol::BackendEntryT(*backend_servers_) : nullptr); }
+  quarantined.reserve(o.quarantined.size());
+  for (const auto &quarantined_ : o.quarantined) { quarantined.emplace_back((quarantined_) ? new marigoldquay::protocol::QuarantinedPromptT(*quarantined_) : nullptr); }
 }
 
 inline FleetStateT &FleetStateT::operator=(FleetStateT o) FLATBUFFERS_NOEXCEPT {
@@ -8381,6 +8749,7 @@
   std::swap(whole_servers, o.whole_servers);
   std::swap(removed_members, o.removed_members);
   std::swap(catalog, o.catalog);
+  std::swap(quarantined, o.quarantined);
   return *this;
 }
 
@@ -8406,6 +8775,7 @@
   { auto _e = whole_servers(); _o->whole_servers = _e; }
   { auto _e = removed_members(); if (_e) { _o->removed_members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->removed_members[_i] = _e->Get(_i)->str(); } } }
   { auto _e = catalog(); if (_e) { _o->catalog.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->catalog.begin()); } }
+  { auto _e = quarantined(); if (_e) { _o->quarantined.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->quarantined[_i] = std::unique_ptr<marigoldquay::protocol::QuarantinedPromptT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<FleetState> FleetState::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FleetStateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8429,6 +8799,7 @@
   auto _whole_servers = _o->whole_servers;
   auto _removed_members = _o->removed_members.size() ? _fbb.CreateVectorOfStrings(_o->removed_members) : 0;
   auto _catalog = _o->catalog.size() ? _fbb.CreateVector(_o->catalog) : 0;
+  auto _quarantined = _o->quarantined.size() ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>> (_o->quarantined.size(), [](size_t i, _VectorArgs *__va) { return CreateQuarantinedPrompt(*__va->__fbb, __va->__o->quarantined[i].get(), __va->__rehasher); }, &_va ) : 0;
   return marigoldquay::protocol::CreateFleetState(
       _fbb,
       _coordinator,
@@ -8443,7 +8814,8 @@
       _removed_servers,
       _whole_servers,
       _removed_members,
-      _catalog);
+      _catalog,
+      _quarantined);
 }
 
 
@@ -8461,7 +8833,8 @@
       (lhs.availability_zone == rhs.availability_zone) &&
       (lhs.excluded == rhs.excluded) &&
       (lhs.running_on == rhs.running_on) &&
-      (lhs.charged_server == rhs.charged_server);
+      (lhs.charged_server == rhs.charged_server) &&
+      (lhs.parts == rhs.parts);
 }
 
 inline bool operator!=(const PlaceStreamRequestT &lhs, const PlaceStreamRequestT &rhs) {
@@ -8491,6 +8864,7 @@
   { auto _e = excluded(); if (_e) { _o->excluded.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->excluded[_i] = _e->Get(_i)->str(); } } }
   { auto _e = running_on(); if (_e) _o->running_on = _e->str(); }
   { auto _e = charged_server(); if (_e) _o->charged_server = _e->str(); }
+  { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = _e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<PlaceStreamRequest> PlaceStreamRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceStreamRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8514,6 +8888,7 @@
   auto _excluded = _o->excluded.size() ? _fbb.CreateVectorOfStrings(_o->excluded) : 0;
   auto _running_on = _o->running_on.empty() ? 0 : _fbb.CreateString(_o->running_on);
   auto _charged_server = _o->charged_server.empty() ? 0 : _fbb.CreateString(_o->charged_server);
+  auto _parts = _o->parts.size() ? _fbb.CreateVector(_o->parts) : 0;
   return marigoldquay::protocol::CreatePlaceStreamRequest(
       _fbb,
       _request_id,
@@ -8528,7 +8903,8 @@
       _availability_zone,
       _excluded,
       _running_on,
-      _charged_server);
+      _charged_server,
+      _parts);
 }
 
 
--- a/packages/relay/include/marigoldquay/relay/backend_dialect.h
+++ b/packages/relay/include/marigoldquay/relay/backend_dialect.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "absl/time/time.h"
 #include "marigoldquay/core/error_or.h"
@@ -37,6 +38,8 @@
   std::optional<TokenDemand> tokens;
   /// Id of the last event that the caller received of the stream to be resumed.
   std::optional<std::uint64_t> resume_after;
+  /// Parts of the prompt that other requests may share, in order.
+  std::vector<PromptPartId> shared_parts;
 
   bool operator==(const RequestMetadata&) const = default;
 };
--- a/packages/relay/include/marigoldquay/relay/stream_placer.h
+++ b/packages/relay/include/marigoldquay/relay/stream_placer.h
@@ -4,11 +4,13 @@
 #define MARIGOLDQUAY_RELAY_STREAM_PLACER_H_
 
 #include <optional>
+#include <span>
 #include <string>
 #include <variant>
 
 #include "absl/time/time.h"
 #include "marigoldquay/core/types.h"
+#include "marigoldquay/dispatch/prompt_quarantine.h"
 #include "marigoldquay/dispatch/quota_ledger.h"
 #include "marigoldquay/dispatch/stream_scheduler.h"
 #include "marigoldquay/net/async.h"
@@ -61,6 +63,10 @@
   virtual void OnFirstEvent(const StreamPlacement& placement) = 0;
   /// Must be called exactly once for each placement.
   virtual void OnEnd(const StreamPlacement& placement, StreamEnd end) = 0;
+  /// An engine crashed under a request that it had not begun to answer.
+  virtual void OnCrash(const EngineCrash& crash) = 0;
+  /// Time for which requests with one of these parts are refused; zero when none is quarantined.
+  virtual absl::Duration QuarantineTimeLeft(std::span<const PromptPartId> parts) const = 0;
 };
 
 /// Charges requests that need no placement to the quota of their workspace and to the request limit
--- a/packages/relay/src/backend_attempt.cc
+++ b/packages/relay/src/backend_attempt.cc
@@ -39,6 +39,11 @@
   return outcome;
 }
 
+AttemptOutcome BackendAttempt::FailExchange(const Error& error) {
+  connection_lost_ = error.code == ErrorCode::kUnavailable;
+  return Fail(AttemptOutcome::kUnknown, ReplicaOutcome::kUnreachable, error.ToString());
+}
+
 ErrorOrVoid BackendAttempt::Connect(const AttemptOptions& options, Yield yield) {
   auto& pool = state_.context.connections;
   if (!options.fresh_connection) connection_ = pool.TakeIdle(replica_.address);
@@ -82,13 +87,9 @@
   CountBackendRequest(replica_.id);
   const HttpRequest request = state_.context.dialect.MakeBackendRequest(state_.request, call);
   const auto sent = connection_->Send(request, options.head_timeout, yield);
-  if (!sent) {
-    return Fail(AttemptOutcome::kUnknown, ReplicaOutcome::kUnreachable, sent.error().ToString());
-  }
+  if (!sent) return FailExchange(sent.error());
   const auto read = ReadFinalHead(options.head_timeout, yield);
-  if (!read) {
-    return Fail(AttemptOutcome::kUnknown, ReplicaOutcome::kUnreachable, read.error().ToString());
-  }
+  if (!read) return FailExchange(read.error());
   return CheckResponseHead();
 }
 
@@ -161,6 +162,7 @@
                  "the stream ended inside an event"};
   }
   if (!read) {
+    connection_lost_ = read.error().code == ErrorCode::kUnavailable || EndedInsideEvent();
     detail_ = read.error().ToString();
     connection_->Close();
   }
--- a/packages/relay/src/backend_attempt.h
+++ b/packages/relay/src/backend_attempt.h
@@ -61,6 +61,8 @@
   const Replica& replica() const { return replica_; }
   /// Whether any bytes of the request may have reached the server.
   bool may_have_reached() const { return may_have_reached_; }
+  /// Whether the connection ended before the response did, which a crash of the server looks like.
+  bool connection_lost() const { return connection_lost_; }
   /// Description of the failure, for logs and error messages.
   const std::string& detail() const { return detail_; }
 
@@ -68,6 +70,8 @@
   ErrorOrVoid Connect(const AttemptOptions& options, Yield yield);
   ErrorOrVoid ReadFinalHead(absl::Duration timeout, Yield yield);
   AttemptOutcome Fail(AttemptOutcome outcome, ReplicaOutcome health_outcome, std::string detail);
+  // Fails an exchange whose request may have reached the server.
+  AttemptOutcome FailExchange(const Error& error);
   AttemptOutcome CheckResponseHead();
   bool IsEventStream() const;
   // Whether the body has ended where its framing or its events do not allow an end.
@@ -81,6 +85,7 @@
   BackendResponse response_;
   EventBoundary event_boundary_;
   bool may_have_reached_ = false;
+  bool connection_lost_ = false;
   absl::Time sent_at_;
   std::string detail_;
 };
--- a/packages/relay/src/model_relay.cc
+++ b/packages/relay/src/model_relay.cc
@@ -21,6 +21,9 @@
 constexpr double kPrefillTimeoutFactor = 3.0;
 constexpr absl::Duration kPrefillTimeoutSlack = absl::Milliseconds(300);
 constexpr absl::Duration kPrefillConnectTimeout = absl::Milliseconds(120);
+// A crashed engine closes its connections just before it stops to listen.
+constexpr absl::Duration kCrashProbeDelay = absl::Milliseconds(20);
+constexpr absl::Duration kCrashProbeTimeout = absl::Milliseconds(250);
 constexpr absl::Duration kReleaseTimeout = absl::Milliseconds(500);
 constexpr std::size_t kMaxErrorBytes = std::size_t{64} * 1024;
 constexpr unsigned kTooManyRequests = 429;
@@ -95,6 +98,7 @@
     }
     auto& demand = request.demand;
     demand.request = state_.metadata.id;
+    demand.shared_parts = state_.metadata.shared_parts;
     demand.prompt_tokens = tokens.prompt;
     demand.output_tokens = tokens.output;
     demand.first_event_due = state_.arrival_time + state_.route->latency_target;
@@ -156,9 +160,37 @@
       HandleCancellation(state_, yield);
       return NextStep::kStop;
     }
+    // The prompt may have crashed an engine during the prefill, for another request.
+    if (IsQuarantined()) {
+      ReleaseCache(std::move(cache));
+      guard.End(StreamEnd::kCancelled);
+      return NextStep::kRetry;
+    }
     return StreamFromDecode(placement, decode, std::move(cache), guard, yield);
   }
 
+  bool IsQuarantined() const {
+    return state_.context.placer.QuarantineTimeLeft(state_.metadata.shared_parts) >
+           absl::ZeroDuration();
+  }
+
+  // Reports a crash of the engine if it accepts no connections after it has broken off a response
+  // that had just begun or was about to begin. Does not delay the request.
+  void ReportCrash(const BackendAttempt& attempt) const {
+    const bool answered = state_.Now() - first_event_at_ >= PromptQuarantine::kProvenAfter;
+    if (!attempt.connection_lost() || answered || state_.metadata.shared_parts.empty()) return;
+    const auto& context = state_.context;
+    const EngineCrash crash{attempt.replica().id, state_.metadata.shared_parts, state_.Now()};
+    SpawnFiber(context.io, "check engine",
+               [&context, crash, address = attempt.replica().address](Yield yield) {
+                 SleepFor(context.io, kCrashProbeDelay, yield);
+                 const auto connection = context.connections.MakeNew(address);
+                 const auto connected = connection->Connect(kCrashProbeTimeout, yield);
+                 connection->Close();
+                 if (!connected) context.placer.OnCrash(crash);
+               });
+  }
+
   // Returns null when the prefill failed; the decode engine then processes the prompt itself.
   std::unique_ptr<PendingKvCache> RunPrefill(const StreamPlacement& placement, Yield yield) {
     const Replica* listed = state_.context.cluster.replicas().Find(*placement.prefill);
@@ -247,6 +279,7 @@
           yield);
       return NextStep::kStop;
     }
+    first_event_at_ = absl::InfiniteFuture();
     BackendAttempt attempt(state_, decode);
     const AttemptOutcome attempt_outcome =
         attempt.Start(MakeBackendCall(decode, cache.get()), MakeAttemptOptions(), yield);
@@ -264,6 +297,7 @@
         return HandleRejection(placement, attempt, had_cache, guard);
       case AttemptOutcome::kUnknown:
         ++state_.execution_count;
+        ReportCrash(attempt);
         guard.End(StreamEnd::kFailed);
         return HandleInterruption(decode.id, yield);
       case AttemptOutcome::kResponded:
@@ -370,6 +404,7 @@
       }
       if (!read) {
         last_detail_ = attempt.detail();
+        ReportCrash(attempt);
         guard.End(StreamEnd::kFailed);
         return HandleInterruption(attempt.replica().id, yield);
       }
@@ -418,6 +453,7 @@
   std::vector<BackendServerId> excluded_;
   EventSplitter events_;
   std::string last_detail_;
+  // Of the current attempt.
   absl::Time first_event_at_ = absl::InfiniteFuture();
 };
 
