--- a/packages/fleet/include/marigoldquay/fleet/cluster_store.h
+++ b/packages/fleet/include/marigoldquay/fleet/cluster_store.h
@@ -24,6 +24,8 @@
   std::optional<CatalogContents> catalog;
   /// Stored form of that configuration.
   std::string record;
+  /// One reason for each record that was skipped.
+  std::vector<std::string> skipped;
   /// Offset at which the next read continues.
   Offset next = 0;
 };
--- a/packages/fleet/include/marigoldquay/fleet/followers.h
+++ b/packages/fleet/include/marigoldquay/fleet/followers.h
@@ -4,7 +4,9 @@
 
 #include <functional>
 #include <map>
+#include <string>
 
+#include "absl/container/flat_hash_set.h"
 #include "absl/time/time.h"
 #include "marigoldquay/core/clock.h"
 #include "marigoldquay/fleet/cluster_store.h"
@@ -105,6 +107,8 @@
   absl::Time last_store_contact_ = absl::InfinitePast();
   // Whether this VM has read the list from the store since it last followed the coordinator.
   bool reads_store_ = true;
+  // Reasons for skipped entries that have been logged.
+  absl::flat_hash_set<std::string> logged_skips_;
   // Offset of the next read; unset when the full list has to be read.
   std::optional<Offset> next_;
   // Servers missing from the list, with the time at which they are removed unless they reappear.
--- a/packages/fleet/src/followers.cc
+++ b/packages/fleet/src/followers.cc
@@ -7,6 +7,7 @@
 #include "absl/container/flat_hash_set.h"
 #include "absl/strings/str_cat.h"
 #include "marigoldquay/core/logger.h"
+#include "marigoldquay/core/metrics.h"
 
 namespace marigoldquay {
 namespace {
@@ -37,6 +38,20 @@
 // alive.
 constexpr absl::Duration kReappearanceGrace = absl::Milliseconds(2200);
 
+// Reasons that are remembered, so that each is logged once.
+constexpr std::size_t kMaxLoggedSkips = 100;
+
+void LogSkipped(absl::string_view event, const std::string& reason) {
+  Log().Event(event, LogFields().Add("reason", reason), LogLevel::kWarn);
+}
+
+void CountSkippedEntry() {
+  MetricsRegistry::Global()
+      .counter("marigoldquay_fleet_backend_server_entries_skipped_total",
+               "Entries of the list of backend servers that name no server to use.")
+      .Increment();
+}
+
 absl::Duration MaxRetryPause(const FeedMonitor& feed) {
   return feed.FeedsOthers() ? kMaxFeedingRetryPause : kMaxRetryPause;
 }
@@ -52,6 +67,7 @@
 }
 
 void CatalogFollower::Apply(CatalogUpdate update, absl::string_view source) {
+  for (const std::string& reason : update.skipped) LogSkipped("configuration_skipped", reason);
   if (!update.catalog) return;
   const std::uint64_t version = update.catalog->version;
   const std::uint64_t before = view_.catalog() ? view_.catalog()->version() : 0;
@@ -73,10 +89,9 @@
     if (contents) {
       // The log offset that follows this version is unknown.
       next_.reset();
-      Apply({std::move(*contents), record, 0}, "coordinator");
+      Apply({std::move(*contents), record, {}, 0}, "coordinator");
     } else {
-      Log().Event("configuration_skipped", LogFields().Add("reason", contents.error().ToString()),
-                  LogLevel::kWarn);
+      LogSkipped("configuration_skipped", contents.error().ToString());
     }
   }
   if (version <= announced_version_) return;
@@ -162,7 +177,10 @@
     Set(replica, source);
   }
   for (const std::string& reason : update.skipped) {
-    Log().Event("backend_server_entry_skipped", LogFields().Add("reason", reason), LogLevel::kWarn);
+    CountSkippedEntry();
+    // The entry may be written again with each heartbeat of its writer.
+    if (logged_skips_.size() >= kMaxLoggedSkips) logged_skips_.clear();
+    if (logged_skips_.insert(reason).second) LogSkipped("backend_server_entry_skipped", reason);
   }
   std::vector<BackendServerId> missing = update.removed;
   if (is_full_list) {
--- a/tests/platform/platform_hazards_test.cc
+++ b/tests/platform/platform_hazards_test.cc
@@ -107,6 +107,39 @@
   }
 }
 
+// Guards against an entry of another writer that ends the process that reads it, stops it from
+// following the list, or takes the address of a sound server.
+BOOST_AUTO_TEST_CASE(odd_entries_harm_no_other_server) {
+  World world(Named("hazard_odd_entries", kVms));
+  for (int i = 0; i < kVms; ++i) BOOST_TEST_REQUIRE(world.AwaitReady(i));
+  const auto entry = [](const std::string& address, const std::string& rest) {
+    return R"({"service":"desk","zone":"z1","state":"ready","address":")" + address + "\"," + rest +
+           "}";
+  };
+  world.Run([&] {
+    const Address sound = world.replica_address("s1");
+    auto& store = world.store();
+    store.Put("keyed.servers", "odd-1", std::string(100'000, '['));
+    store.Put("keyed.servers", "odd-2", entry(sound, R"("slots":8,"born":1e300)"));
+    store.Put("keyed.servers", "odd-3", entry("127.0.0.1:99999", R"("slots":8)"));
+    store.Put("keyed.servers", "odd-4", entry("127.0.0.1:1", R"("slots":1e400)"));
+    store.Put("keyed.servers", "odd\r\n5: x", entry(sound, R"("slots":8,"born":9)"));
+    store.Put("keyed.servers", "odd 6&part=1", entry(sound, R"("slots":8,"born":9)"));
+    store.Put("keyed.servers", "\xff\x00\xfe", "\x80\xff");
+  });
+  absl::SleepFor(absl::Seconds(2));
+  // All servers but one leave, so that the list must still be followed and the one still be used.
+  for (const char* id : {"s2", "s3"}) world.Announce(id, "draining");
+  absl::SleepFor(absl::Seconds(2));
+  for (int i = 0; i < 30; ++i) {
+    const auto call = To(i % 2 == 0 ? "/order/x" : "/status/x");
+    BOOST_TEST(world.Call(i % kVms, call).status == 200);
+    const auto runs = world.RunsOf(call.id);
+    BOOST_TEST((runs.size() == 1 && runs[0].replica == "s1"));
+  }
+  for (int i = 0; i < kVms; ++i) BOOST_TEST(world.vm(i).running());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -97,6 +97,8 @@
   std::vector<ReplicaRun> RunsOf(const std::string& id);
   /// Announces the state of a backend server.
   void Announce(const std::string& id, const std::string& state);
+  /// Only on the thread of the stand-ins.
+  const Address& replica_address(const std::string& id) { return replicas_.at(id)->address(); }
   /// Ends a backend server without notice.
   void Crash(const std::string& id);
   /// Removes its entry from the list.
