Do not take a refusal without a name on a reused connection for one's own

Another operator reported callers that were told "not run, try again" for requests that had run: a faulty server sent an earlier refusal once more on a kept connection.

Here a refusal that names no request was taken for that of the current request on any connection. Requests that must not be repeated use new connections, so only idempotent ones could meet it: they were told 503, not run.

Change: on a connection that has carried another request such a refusal counts as an unknown outcome, and a connection on which a prefill was refused is not kept.

--- a/packages/relay/src/backend_attempt.cc
+++ b/packages/relay/src/backend_attempt.cc
@@ -47,6 +47,7 @@
 ErrorOrVoid BackendAttempt::Connect(const AttemptOptions& options, Yield yield) {
   auto& pool = state_.context.connections;
   if (!options.fresh_connection) connection_ = pool.TakeIdle(replica_.address);
+  connection_reused_ = connection_ != nullptr;
   ErrorOrVoid connected = std::monostate();
   for (int i = 0; i < kMaxConnectAttempts && !connection_; ++i) {
     connection_ = pool.MakeNew(replica_.address);
@@ -101,6 +102,14 @@
   }
   const bool is_for_other_request = !response_.request_id.empty() && !state_.metadata.id.empty() &&
                                     response_.request_id != state_.metadata.id;
+  // On a connection that has carried another request, a refusal that names no request may be an
+  // earlier one that the server has sent once more.
+  const bool may_be_earlier_refusal =
+      response_.not_executed && response_.request_id.empty() && connection_reused_;
+  if (may_be_earlier_refusal) {
+    return Fail(AttemptOutcome::kUnknown, ReplicaOutcome::kOverloaded,
+                "refusal on a reused connection names no request");
+  }
   if (is_for_other_request) {
     return Fail(AttemptOutcome::kUnknown, ReplicaOutcome::kUnreachable,
                 absl::StrCat("response belongs to request ", response_.request_id));
--- a/packages/relay/src/backend_attempt.h
+++ b/packages/relay/src/backend_attempt.h
@@ -84,6 +84,7 @@
   std::optional<HttpConnection::ResponseParser> parser_;
   BackendResponse response_;
   EventBoundary event_boundary_;
+  bool connection_reused_ = false;
   bool may_have_reached_ = false;
   bool connection_lost_ = false;
   absl::Time sent_at_;
--- a/packages/relay/src/model_relay.cc
+++ b/packages/relay/src/model_relay.cc
@@ -239,8 +239,10 @@
     if (!sent) return sent.error();
     const auto reply = connection->ReadReply(kMaxErrorBytes, timeout, yield);
     if (!reply) return reply.error();
-    if (connection->open()) pool.Put(std::move(connection), state_.MaxIdleConnections());
     const auto response = state_.context.dialect.DecodeResponse(reply->status, reply->fields);
+    // A faulty engine may send a refusal once more, to the next request of the connection.
+    const bool reusable = connection->open() && !response.not_executed;
+    if (reusable) pool.Put(std::move(connection), state_.MaxIdleConnections());
     RecordServerState(state_, engine, response, sent_at);
     if (!response.request_id.empty() && response.request_id != state_.metadata.id) {
       return Error{ErrorCode::kProtocol, "read prompt", engine.address,
--- a/tests/platform/broken_off_responses_test.cc
+++ b/tests/platform/broken_off_responses_test.cc
@@ -52,25 +52,22 @@
 /// A backend server that ends its responses as the test says.
 class BreakingServer {
  public:
-  BreakingServer() : server_([this](const StubConnection& connection) { Answer(connection); }) {}
+  BreakingServer() : server_([this](const StubConnection& connection) { script_(connection); }) {}
 
   void Set(std::string bytes, Ending ending) {
-    bytes_ = std::move(bytes);
-    ending_ = ending;
+    script_ = [bytes = std::move(bytes), ending](const StubConnection& connection) {
+      connection.ReadUntil("\r\n\r\n");
+      connection.Send(bytes);
+      if (ending == Ending::kFin) return;
+      absl::SleepFor(kBeforeReset);
+      Reset(connection);
+    };
   }
+  void Set(TcpStubServer::Script script) { script_ = std::move(script); }
   const Address& address() const { return server_.address(); }
 
  private:
-  void Answer(const StubConnection& connection) const {
-    connection.ReadUntil("\r\n\r\n");
-    connection.Send(bytes_);
-    if (ending_ == Ending::kFin) return;
-    absl::SleepFor(kBeforeReset);
-    Reset(connection);
-  }
-
-  std::string bytes_;
-  Ending ending_ = Ending::kFin;
+  TcpStubServer::Script script_ = [](const StubConnection&) {};
   TcpStubServer server_;
 };
 
@@ -135,7 +132,7 @@
 }
 
 /// A relay with one engine and one plain server, both at the breaking server. Routes: /resumed/ and
-/// /once/ lead to the engine, /plain/ and /plain-stream/ to the plain server.
+/// /once/ lead to the engine, /plain/, /plain-stream/ and /lookup/ to the plain server.
 class Relay {
  public:
   Relay()
@@ -151,7 +148,8 @@
     contents.routes = {Route("/resumed/", "model", RequestKind::kStream),
                        Route("/once/", "model", RequestKind::kStream),
                        Route("/plain/", "plain", RequestKind::kNonIdempotent),
-                       Route("/plain-stream/", "plain", RequestKind::kStream)};
+                       Route("/plain-stream/", "plain", RequestKind::kStream),
+                       Route("/lookup/", "plain", RequestKind::kIdempotent)};
     contents.routes[0].resumable = true;
     contents.routes[0].max_attempts = 2;
     contents.services = {{"model", 0, EngineProfile{}}, {"plain", 0, std::nullopt}};
@@ -177,6 +175,14 @@
   ClientResponse Call(const std::string& path, const std::string& bytes, Ending ending) {
     engine_.Set(bytes, ending);
     plain_.Set(bytes, ending);
+    return Call(path);
+  }
+  /// Sets what the backend servers do with each connection.
+  void Script(const TcpStubServer::Script& script) {
+    engine_.Set(script);
+    plain_.Set(script);
+  }
+  ClientResponse Call(const std::string& path) {
     ClientRequest request;
     request.url = url_ + path + "x";
     request.headers = {"Host: shop.example", absl::StrCat("Attempt-Id: ", kRequestId)};
@@ -288,6 +294,29 @@
   }
 }
 
+// Guards against an earlier refusal that the server sends once more on a kept connection, and that
+// the caller of the next request is told as its own.
+BOOST_AUTO_TEST_CASE(earlier_refusal_on_a_kept_connection_is_not_passed_on) {
+  const std::string whole = absl::StrCat("HTTP/1.1 200 OK\r\nAttempt-Id: ", kRequestId,
+                                         "\r\nResponse-Seal: s\r\nContent-Length: 2\r\n\r\nok");
+  const std::string refusal =
+      "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+  Relay relay;
+  relay.Script([&](const StubConnection& connection) {
+    connection.ReadUntil("\r\n\r\n");
+    connection.Send(whole);
+    connection.ReadUntil("\r\n\r\n");
+    // The request of this connection is being executed, and answered with an earlier refusal.
+    connection.Send(refusal);
+    connection.AwaitClose();
+  });
+  const auto first = relay.Call("/lookup/");
+  BOOST_TEST(first.status == 200);
+  const auto second = relay.Call("/lookup/");
+  BOOST_TEST(second.status != 503);
+  BOOST_TEST(second.body.find("not_run") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
