Attempt a connection again before the kernel resends a dropped SYN packet

All VMs call the store in the same moment when they lose the coordinator; a full queue of new connections drops SYN packets, which the kernel sends again after 1 s and 3 s, and a call waited for that: 0.8 s, and 2.8 s for a long poll, then a pause.

Change: a call attempts another connection every 200 ms within its time.

--- a/packages/net/src/http_connection.cc
+++ b/packages/net/src/http_connection.cc
@@ -22,6 +22,27 @@
 // while the peer closes the connection is lost.
 constexpr absl::Duration kMaxIdleTime = absl::Seconds(4);
 constexpr double kKeepAliveFraction = 0.6;
+// A SYN packet that is dropped, e.g. because the peer's queue of new connections is full, is only
+// retransmitted after 1 s and 3 s, so another connection is attempted much earlier.
+constexpr absl::Duration kConnectAttemptTimeout = absl::Milliseconds(200);
+
+// Connects within `timeout`, with as many attempts as that allows.
+ErrorOr<std::unique_ptr<HttpConnection>> OpenConnection(const ConnectionPool& pool,
+                                                        const Address& peer, absl::Duration timeout,
+                                                        Yield yield) {
+  const Clock& clock = SystemClock::Instance();
+  const absl::Time until = clock.Now() + timeout;
+  while (true) {
+    auto connection = pool.MakeNew(peer);
+    const absl::Duration left = until - clock.Now();
+    const absl::Time started = clock.Now();
+    const auto connected = connection->Connect(std::min(left, kConnectAttemptTimeout), yield);
+    if (connected) return connection;
+    // A peer that refuses the connection at once is not asked again.
+    const bool dropped = clock.Now() - started >= kConnectAttemptTimeout;
+    if (!dropped || clock.Now() >= until) return connected.error();
+  }
+}
 
 }  // namespace
 
@@ -166,9 +187,9 @@
                             absl::Duration timeout, Yield yield) {
   auto connection = pool.TakeIdle(peer);
   if (!connection) {
-    connection = pool.MakeNew(peer);
-    const auto connected = connection->Connect(timeout, yield);
-    if (!connected) return connected.error();
+    auto opened = OpenConnection(pool, peer, timeout, yield);
+    if (!opened) return opened.error();
+    connection = std::move(*opened);
   }
   const auto sent = connection->Send(request, timeout, yield);
   if (!sent) return sent.error();
--- /dev/null
+++ b/tests/platform/platform_config_test.cc
@@ -0,0 +1,227 @@
+// Time until a configuration is in force at every VM, while VMs and their links to the store fail.
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <fstream>
+#include <iterator>
+#include <string>
+#include <vector>
+
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "absl/time/clock.h"
+#include "world.h"
+
+namespace marigoldquay::testing {
+namespace {
+
+constexpr int kVms = 12;
+// Bounds of the platform.
+constexpr absl::Duration kApply = absl::Seconds(2);
+constexpr absl::Duration kContact = absl::Seconds(3);
+constexpr absl::Duration kChangeInterval = absl::Milliseconds(400);
+constexpr absl::Duration kFaultTime = absl::Milliseconds(2500);
+
+struct Change {
+  std::uint64_t version = 0;
+  absl::Time acknowledged;
+};
+
+/// Span in which nothing is expected of a VM.
+struct Disturbance {
+  int vm = 0;
+  absl::Time from;
+  absl::Time to = absl::InfiniteFuture();
+};
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+}
+
+std::uint64_t NumberAfter(absl::string_view line, absl::string_view name) {
+  const auto at = line.find(name);
+  std::uint64_t number = 0;
+  if (at == absl::string_view::npos) return 0;
+  const std::vector<std::string> parts =
+      absl::StrSplit(line.substr(at + name.size()), absl::MaxSplits(absl::ByAnyChar(",}/"), 1));
+  return absl::SimpleAtoi(parts.front(), &number) ? number : 0;
+}
+
+/// Changes configurations all the time, and checks when each VM applied them, from its log.
+class ChangingWorld {
+ public:
+  explicit ChangingWorld(const std::string& name) : world_(Options(name)) {
+    for (int i = 0; i < kVms; ++i) BOOST_TEST_REQUIRE(world_.AwaitReady(i));
+    absl::SleepFor(kContact);
+  }
+
+  World& world() { return world_; }
+
+  void ChangeFor(absl::Duration duration) {
+    const absl::Time until = absl::Now() + duration;
+    while (absl::Now() < until) {
+      const std::uint64_t version = world_.Configure();
+      changes_.push_back({version, absl::Now()});
+      absl::SleepFor(kChangeInterval);
+    }
+  }
+  void BeginDisturbance(int vm) { disturbances_.push_back({vm, absl::Now()}); }
+  void EndDisturbances() {
+    for (Disturbance& disturbance : disturbances_) {
+      disturbance.to = std::min(disturbance.to, absl::Now());
+    }
+  }
+
+  // The VM that was named as coordinator last, by any other VM.
+  int Coordinator() const {
+    int coordinator = 0;
+    std::string latest;
+    for (int i = 0; i < kVms; ++i) {
+      const std::string log = Log(i);
+      for (const absl::string_view line : absl::StrSplit(log, '\n')) {
+        if (!absl::StrContains(line, "\"coordinator_session\"")) continue;
+        const std::string time(line.substr(0, std::min<std::size_t>(line.size(), 34)));
+        if (time < latest) continue;
+        latest = time;
+        coordinator = static_cast<int>(NumberAfter(line, R"("vm":"vm-)"));
+      }
+    }
+    return coordinator;
+  }
+
+  /// Checks all changes since the last call; a VM that starts again begins a new log.
+  void Check() {
+    absl::SleepFor(kApply);
+    for (int vm = 0; vm < kVms; ++vm) {
+      const auto applied = Applied(vm);
+      for (const Change& change : changes_) {
+        if (IsExcused(vm, change)) continue;
+        const auto in_force = std::find_if(applied.begin(), applied.end(), [&](const Change& own) {
+          return own.version >= change.version;
+        });
+        const bool in_time =
+            in_force != applied.end() && in_force->acknowledged < change.acknowledged + kApply;
+        BOOST_TEST(in_time,
+                   "vm-" << vm << " did not apply version " << change.version << " in time");
+        ++checked_;
+      }
+    }
+    changes_.clear();
+  }
+  /// Number of times that a change was due at a VM.
+  int checked() const { return checked_; }
+
+ private:
+  static WorldOptions Options(const std::string& name) {
+    WorldOptions options;
+    options.name = name;
+    options.vms = kVms;
+    options.proxied = true;
+    return options;
+  }
+
+  std::string Log(int vm) const { return ReadFile(world_.SettingsPath(vm) + ".out"); }
+
+  // Versions that the VM has applied since its start, with the times.
+  std::vector<Change> Applied(int vm) const {
+    std::vector<Change> applied;
+    for (const std::string& line : std::vector<std::string>(absl::StrSplit(Log(vm), '\n'))) {
+      if (!absl::StrContains(line, R"("event":"configuration")")) continue;
+      Change change;
+      change.version = NumberAfter(line, R"("version":)");
+      std::string error;
+      constexpr std::size_t kTimeAt = 9;
+      constexpr std::size_t kTimeSize = 24;
+      if (!absl::ParseTime("%Y-%m-%dT%H:%M:%E*SZ", line.substr(kTimeAt, kTimeSize),
+                           &change.acknowledged, &error)) {
+        continue;
+      }
+      applied.push_back(change);
+    }
+    return applied;
+  }
+
+  bool IsExcused(int vm, const Change& change) const {
+    return std::any_of(disturbances_.begin(), disturbances_.end(), [&](const Disturbance& d) {
+      return d.vm == vm && d.from < change.acknowledged + kApply &&
+             change.acknowledged < d.to + kContact;
+    });
+  }
+
+  World world_;
+  std::vector<Change> changes_;
+  std::vector<Disturbance> disturbances_;
+  int checked_ = 0;
+};
+
+BOOST_AUTO_TEST_SUITE(platform_config)
+
+// Guards against a change that a VM learns late because the VM that reads the store for all is
+// killed, frozen, or cut off from the store with an error or in silence.
+BOOST_AUTO_TEST_CASE(change_is_in_force_in_time_when_the_coordinator_fails) {
+  ChangingWorld changing("config_coordinator");
+  World& world = changing.world();
+  for (int round = 0; round < 4; ++round) {
+    const int vm = changing.Coordinator();
+    changing.BeginDisturbance(vm);
+    if (round == 0) world.vm(vm).Kill();
+    if (round == 1) world.vm(vm).Pause();
+    if (round >= 2) {
+      world.Run([&] {
+        LinkFault fault;
+        fault.refuse = round == 2;
+        fault.hold_to_server = fault.hold_to_client = round == 3;
+        world.store_link(vm).set_fault(fault);
+        if (fault.refuse) world.store_link(vm).Reset();
+      });
+    }
+    changing.ChangeFor(kFaultTime);
+    if (round == 0) world.StartVm(vm);
+    if (round == 1) world.vm(vm).Resume();
+    if (round >= 2) world.Run([&] { world.store_link(vm).set_fault({}); });
+    changing.EndDisturbances();
+    changing.ChangeFor(kFaultTime);
+  }
+  changing.Check();
+  BOOST_TEST(changing.checked() > 100);
+}
+
+// Guards against VMs that are told old news after the store has turned most of them away, and after
+// all of them were started again together.
+BOOST_AUTO_TEST_CASE(change_is_in_force_in_time_when_many_vms_fail) {
+  ChangingWorld changing("config_many");
+  World& world = changing.world();
+  for (int vm = 0; vm < kVms; ++vm) {
+    if (vm % 4 == 3) continue;
+    changing.BeginDisturbance(vm);
+    world.Run([&] {
+      LinkFault fault;
+      fault.refuse = vm % 2 == 0;
+      fault.hold_to_server = fault.hold_to_client = vm % 2 == 1;
+      world.store_link(vm).set_fault(fault);
+      if (fault.refuse) world.store_link(vm).Reset();
+    });
+  }
+  changing.ChangeFor(kFaultTime);
+  for (int vm = 0; vm < kVms; ++vm) world.Run([&] { world.store_link(vm).set_fault({}); });
+  changing.EndDisturbances();
+  changing.ChangeFor(kFaultTime);
+  changing.Check();
+  for (int vm = 0; vm < kVms; ++vm) {
+    changing.BeginDisturbance(vm);
+    world.vm(vm).Kill();
+  }
+  for (int vm = 0; vm < kVms; ++vm) world.StartVm(vm);
+  for (int vm = 0; vm < kVms; ++vm) BOOST_TEST_REQUIRE(world.AwaitReady(vm));
+  changing.EndDisturbances();
+  changing.ChangeFor(kContact + kFaultTime);
+  changing.Check();
+  BOOST_TEST(changing.checked() > 100);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace marigoldquay::testing
