--- a/packages/fleet/include/marigoldquay/fleet/coordinator.h
+++ b/packages/fleet/include/marigoldquay/fleet/coordinator.h
@@ -117,6 +117,9 @@
   // Crashes of engines and quarantined parts that a VM reports.
   void OnPromptReport(const protocol::FleetReportT& report);
   void OnCrash(const EngineCrash& crash);
+  void RecordServed(const StreamDemand& demand, absl::Time began_at) {
+    quarantine_.OnServed(demand.shared_parts, began_at);
+  }
   // Fills `refusal` and returns true when a part of the prompt is quarantined.
   bool RefusesPrompt(const StreamDemand& demand, protocol::PlaceStreamReplyT& refusal) const;
   // Charges the tokens of a request to its account; fills `refusal` and returns false when they
--- a/packages/fleet/include/marigoldquay/fleet/coordinator_link.h
+++ b/packages/fleet/include/marigoldquay/fleet/coordinator_link.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
--- a/packages/fleet/src/coordinator.cc
+++ b/packages/fleet/src/coordinator.cc
@@ -224,11 +224,9 @@
 }
 
 void Coordinator::OnCrash(const EngineCrash& crash) {
+  const absl::Time proven = clock_.Now() - PromptQuarantine::kProvenAfter;
   for (const auto& [service, scheduler] : schedulers_) {
-    scheduler.VisitBegun(clock_.Now() - PromptQuarantine::kProvenAfter,
-                         [&](const StreamDemand& demand, absl::Time began_at) {
-                           quarantine_.OnServed(demand.shared_parts, began_at);
-                         });
+    scheduler.VisitBegun(proven, std::bind_front(&Coordinator::RecordServed, this));
   }
   const auto added = quarantine_.OnCrash(crash);
   internal::LogCrash(Log(), crash, added);
@@ -362,10 +360,7 @@
   const auto end = [&](StreamEnd outcome) {
     const absl::Time proven =
         outcome == StreamEnd::kDone ? now : now - PromptQuarantine::kProvenAfter;
-    scheduler.VisitBegun(message.ticket, proven,
-                         [&](const StreamDemand& demand, absl::Time began_at) {
-                           quarantine_.OnServed(demand.shared_parts, began_at);
-                         });
+    scheduler.VisitBegun(message.ticket, proven, std::bind_front(&Coordinator::RecordServed, this));
     queued_placements_.erase({message.service, message.ticket});
     session.tickets.erase({message.service, message.ticket});
     scheduler.OnEnd(message.ticket, outcome, now);
--- a/packages/relay/include/marigoldquay/relay/stream_placer.h
+++ b/packages/relay/include/marigoldquay/relay/stream_placer.h
@@ -65,7 +65,7 @@
   virtual void OnEnd(const StreamPlacement& placement, StreamEnd end) = 0;
   /// An engine crashed under a request that it had not begun to answer.
   virtual void OnCrash(const EngineCrash& crash) = 0;
-  /// Time for which requests with one of these parts are refused; zero when none is quarantined.
+  /// Time for which requests whose prompts hold these parts are refused; zero when they are not.
   virtual absl::Duration QuarantineTimeLeft(std::span<const PromptPartId> parts) const = 0;
 };
 
