--- a/packages/dispatch/src/prompt_quarantine.cc
+++ b/packages/dispatch/src/prompt_quarantine.cc
@@ -16,7 +16,7 @@
 constexpr absl::Duration kQuarantineTime = absl::Minutes(10);
 // An engine needs longer to start again.
 constexpr absl::Duration kSameCrashWindow = absl::Seconds(1);
-// About 1 MB.
+// Some 2 MB.
 constexpr std::size_t kMaxRecords = 16'384;
 // Far more than prompts that crash engines at the same time.
 constexpr std::size_t kMaxEntries = 256;
