Let the timeout of a session hold for whole messages

Cause of one part: each piece of a message that arrived renewed the timeout, so a message that trickled in kept the session alive and the VM from reading the store.

--- a/packages/fleet/include/marigoldquay/fleet/frame_connection.h
+++ b/packages/fleet/include/marigoldquay/fleet/frame_connection.h
@@ -45,7 +45,7 @@
   void SendBytes(const std::string& bytes);
 
   /// Reads the next frame. Fails and closes the connection when the peer closes it, sends a
-  /// malformed frame or sends nothing for `timeout`.
+  /// malformed frame or has sent no complete one after `timeout`.
   ErrorOr<Frame> Read(absl::Duration timeout, Yield yield);
 
   void Close();
--- a/packages/fleet/src/frame_connection.cc
+++ b/packages/fleet/src/frame_connection.cc
@@ -80,6 +80,7 @@
 }
 
 ErrorOr<Frame> FrameConnection::Read(absl::Duration timeout, Yield yield) {
+  const auto until = asio::steady_timer::clock_type::now() + ToChrono(timeout);
   while (open_) {
     auto next = Capture<std::optional<Frame>>([&] { return decoder_.Next(); });
     if (auto* error = std::get_if<1>(&next)) {
@@ -88,7 +89,7 @@
     }
     if (auto& frame = std::get<0>(next)) return std::move(*frame);
     // The timer handler keeps the connection alive until it has run.
-    read_timer_.expires_after(ToChrono(timeout));
+    read_timer_.expires_at(until);
     read_timer_.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
       if (!error) self->Close();
     });
