--- a/apps/marigoldquayd/platform_node.cc
+++ b/apps/marigoldquayd/platform_node.cc
@@ -118,12 +118,17 @@
             io_, clock_, store_, self_, [this] { return NeedsMembers(); },
             [this] { return link_.ShouldAnnounce(); }),
         coordinator_(io_, clock_, view_, presence_, self_,
-                     {[this] { return std::max(StoreContact(), link_.feed_time()); },
+                     {[this] { return std::max(OwnOrigin(), link_.feed_origin()); },
                       [this] { return link_.confirmed_coordinator(); },
                       [this](const BackendServerId& id) { OnLeavingServer(id); },
-                      [this](const StatedRequestLimit& stated) { OnRequestLimit(stated); }}),
+                      [this](const StatedRequestLimit& stated) { OnRequestLimit(stated); },
+                      [this](const ServerDeparture& departure) { OnDeparture(departure); },
+                      [this](std::uint64_t version, const std::string& record) {
+                        OnCatalog(version, record);
+                      }}),
         link_(io_, clock_, view_, presence_, *this,
-              {[this] { return Self(); }, [this] { return StoreContact(); },
+              {[this] { return Self(); }, [this] { return OwnOrigin(); },
+               [this] { return store_.era(); },
                [this](absl::string_view vm) { return coordinator_.IsReporting(vm); }}),
         role_keeper_(
             io_, clock_, view_, store_, dialect_, connections_, coordinator_,
@@ -186,15 +191,15 @@
 
   bool NeedsMembers() const { return link_.NeedsMemberList() || coordinator_.sessions() > 0; }
 
-  // When this VM itself last heard from the store.
-  absl::Time StoreContact() const {
-    return std::min(catalog_follower_.last_contact(), replica_follower_.last_contact());
+  // When this VM itself last read both the configuration and the list of servers.
+  DataOrigin OwnOrigin() const {
+    return std::min(catalog_follower_.origin(), replica_follower_.origin());
   }
 
   // Engines change only on the word of a VM that coordinates and sees the present list.
   bool MayOrder() const {
     return !draining_ && link_.FeedsOthers() && presence_.settled() &&
-           clock_.Now() - replica_follower_.last_contact() < kFreshStore;
+           clock_.Now() - replica_follower_.origin().read_at < kFreshStore;
   }
 
   RetryBudgetLimits RetryLimits(std::size_t members) const {
@@ -223,8 +228,8 @@
     return started;
   }
 
-  void OnReplicaChanges(const ReplicaChanges& changes, bool whole) override {
-    replica_follower_.ApplyFeed(changes, whole);
+  void OnReplicaChanges(const ReplicaChanges& changes, bool whole, StoreEra era) override {
+    replica_follower_.ApplyFeed(changes, whole, era);
   }
   void OnCatalog(std::uint64_t version, const std::string& record) override {
     catalog_follower_.OnVersionAnnounced(version, record);
@@ -238,6 +243,15 @@
     OnReplicaChange();
   }
 
+  // Another VM knows a backend server to be draining or removed.
+  void OnDeparture(const ServerDeparture& departure) {
+    if (!view_.replicas().Apply(departure)) return;
+    LogFields fields;
+    fields.Add("backend_server", departure.server).Add("removed", departure.removed);
+    Log().Event("backend_server_departed", fields);
+    OnReplicaChange();
+  }
+
   // A backend server has stated a request limit, here or to another VM.
   void OnRequestLimit(const StatedRequestLimit& stated) {
     if (!view_.replicas().SetRequestLimit(stated)) return;
--- a/packages/fleet/include/marigoldquay/fleet/cluster_store.h
+++ b/packages/fleet/include/marigoldquay/fleet/cluster_store.h
@@ -18,6 +18,30 @@
 
 namespace marigoldquay {
 
+/// Number of a life of the store. It rises each time the store comes back from an older copy: what
+/// it had acknowledged since that copy is gone, and offsets are given out again.
+using StoreEra = std::uint64_t;
+
+/// Place in a log of the store. Offsets of different eras name different records.
+struct StorePosition {
+  StoreEra era = 0;
+  Offset offset = 0;
+
+  bool operator==(const StorePosition&) const = default;
+};
+
+/// Era and time of the read that data from the store come from.
+struct DataOrigin {
+  StoreEra era = 0;
+  absl::Time read_at = absl::InfinitePast();
+
+  bool operator==(const DataOrigin&) const = default;
+  /// Whether the data are older. Those of an earlier era are, whenever they were read.
+  bool operator<(const DataOrigin& other) const {
+    return era != other.era ? era < other.era : read_at < other.read_at;
+  }
+};
+
 /// Result of reading the operator's records.
 struct CatalogUpdate {
   /// The newest configuration that was read; unset when there was none.
@@ -26,8 +50,8 @@
   std::string record;
   /// One reason for each record that was skipped.
   std::vector<std::string> skipped;
-  /// Offset at which the next read continues.
-  Offset next = 0;
+  /// Where the next read continues.
+  StorePosition next;
 };
 
 /// Result of reading the list of backend servers.
@@ -36,26 +60,31 @@
   std::vector<BackendServerId> removed;
   /// One reason for each entry that was skipped.
   std::vector<std::string> skipped;
-  Offset next = 0;
+  StorePosition next;
 };
 
 /// Errors: kResourceExhausted (rate limit exceeded), kRefused (not executed), kConflict (condition
-/// not met or not a member), kNotFound (the history at this offset was discarded), kTimeout and
-/// kUnavailable (unknown whether the call was executed), kProtocol (malformed reply).
+/// not met, not a member, or the era changed during a read of several calls), kNotFound (the
+/// history at this position was discarded, or the position is of an earlier era), kTimeout and
+/// kUnavailable (unknown whether the call was executed, or executed in an earlier era), kProtocol
+/// (malformed reply).
 class ClusterStore {
  public:
   virtual ~ClusterStore() = default;
 
-  /// Reads the newest configuration and the offset at which changes follow.
+  /// The latest era that an answer has named; 0 before the first answer.
+  virtual StoreEra era() const = 0;
+  /// Reads the newest configuration and the position at which changes follow.
   virtual ErrorOr<CatalogUpdate> ReadNewestCatalog(Yield yield) = 0;
   /// Waits up to `wait` for configurations from `from` on.
-  virtual ErrorOr<CatalogUpdate> AwaitCatalog(Offset from, absl::Duration wait, Yield yield) = 0;
+  virtual ErrorOr<CatalogUpdate> AwaitCatalog(const StorePosition& from, absl::Duration wait,
+                                              Yield yield) = 0;
   /// Decodes the stored form of a configuration that another VM has sent.
   virtual ErrorOr<CatalogContents> DecodeCatalog(absl::string_view record) const = 0;
   /// Reads all backend servers.
   virtual ErrorOr<ReplicaUpdate> ListReplicas(Yield yield) = 0;
   /// Reads changes of the list from `from` on, without waiting.
-  virtual ErrorOr<ReplicaUpdate> ReadReplicaChanges(Offset from, Yield yield) = 0;
+  virtual ErrorOr<ReplicaUpdate> ReadReplicaChanges(const StorePosition& from, Yield yield) = 0;
 
   /// Announces a member for `ttl` or renews its announcement.
   virtual ErrorOrVoid RenewPresence(const std::string& member, absl::Duration ttl, Yield yield) = 0;
--- a/packages/fleet/include/marigoldquay/fleet/coordinator.h
+++ b/packages/fleet/include/marigoldquay/fleet/coordinator.h
@@ -16,6 +16,7 @@
 #include "marigoldquay/dispatch/prompt_quarantine.h"
 #include "marigoldquay/dispatch/quota_ledger.h"
 #include "marigoldquay/dispatch/stream_scheduler.h"
+#include "marigoldquay/fleet/cluster_store.h"
 #include "marigoldquay/fleet/frame_connection.h"
 #include "marigoldquay/fleet/member.h"
 #include "marigoldquay/fleet/member_table.h"
@@ -37,14 +38,18 @@
 
 /// Callbacks to the VM that the coordinator runs on.
 struct CoordinatorHooks {
-  /// When the store data that this VM holds was read, by itself or by another VM.
-  std::function<absl::Time()> store_read_time;
+  /// Origin of the store data that this VM holds, read by itself or by another VM.
+  std::function<DataOrigin()> data_origin;
   /// The coordinator that this VM itself reports to, once that VM has confirmed its role.
   std::function<std::optional<FleetMember>()> followed_member;
   /// Called when a VM reports that a backend server is leaving.
   std::function<void(const BackendServerId&)> on_leaving_server;
   /// Called with a request limit that a backend server has stated to a VM.
   std::function<void(const StatedRequestLimit&)> on_request_limit;
+  /// Called with a backend server that a VM knows to be draining or removed.
+  std::function<void(const ServerDeparture&)> on_departure;
+  /// Called with a configuration that a VM has sent in its stored form.
+  std::function<void(std::uint64_t version, const std::string& record)> on_catalog;
 };
 
 /// Accepts sessions of VMs, schedules their requests and broadcasts the fleet state. Not
@@ -85,7 +90,9 @@
     // Number of VMs that the peer knew of when the session began; 0 when unknown.
     std::size_t known_members = 0;
     // When the store last answered this VM.
-    absl::Time last_store_contact = absl::InfinitePast();
+    DataOrigin store_contact;
+    // Version of the configuration that is in force there.
+    std::uint64_t catalog_version = 0;
     // Versions that were last sent to the VM.
     std::uint64_t sent_members_version = 0;
     std::uint64_t sent_replicas_version = 0;
@@ -116,6 +123,8 @@
   void OnProgress(Session& session, const protocol::StreamProgressMessageT& message);
   // Crashes of engines and quarantined parts that a VM reports.
   void OnPromptReport(const protocol::FleetReportT& report);
+  // What a VM knows of the store's data, which may be newer than the data of this VM.
+  void OnStoreReport(Session& session, const protocol::FleetReportT& report);
   void OnCrash(const EngineCrash& crash);
   void RecordServed(const StreamDemand& demand, absl::Time began_at) {
     quarantine_.OnServed(demand.shared_parts, began_at);
@@ -128,6 +137,8 @@
                    protocol::PlaceStreamReplyT& refusal);
   void SendDecision(Session& session, std::uint64_t call_id, const std::string& service,
                     const StreamDecision& decision);
+  // Adds the time and sends the reply.
+  void SendReply(Session& session, std::uint64_t call_id, protocol::PlaceStreamReplyT& reply);
   StreamScheduler& SchedulerFor(const std::string& service);
   void AdvanceQueuedPlacements(Yield yield);
   void RunStateBroadcasts(Yield yield);
@@ -137,6 +148,9 @@
   std::optional<FleetMember> Successor() const;
   std::optional<FleetMember> BestMemberWithStoreContact() const;
   protocol::FleetStateT BuildState();
+  std::uint64_t CatalogVersion() const;
+  // The VM to ask for a newer configuration than that of this VM; empty when there is none.
+  VmId CatalogSource() const;
   // Whether the configuration is sent to VMs with an older version; otherwise they read the store.
   bool SendsCatalog() const;
   // Adds the level of the account unless the VMs may assume it.
@@ -168,6 +182,8 @@
   // VMs whose session has ended, with the time until which they still count for the quota shares,
   // as they may admit requests on their own until then.
   std::map<std::string, absl::Time> departed_;
+  // Latest version that a VM was asked for.
+  std::uint64_t asked_catalog_version_ = 0;
   bool advancing_queue_ = false;
   bool leaving_ = false;
 };
--- a/packages/fleet/include/marigoldquay/fleet/coordinator_link.h
+++ b/packages/fleet/include/marigoldquay/fleet/coordinator_link.h
@@ -23,6 +23,7 @@
 #include "marigoldquay/fleet/frame_connection.h"
 #include "marigoldquay/fleet/member.h"
 #include "marigoldquay/fleet/member_table.h"
+#include "marigoldquay/fleet/peer_clock.h"
 #include "marigoldquay/relay/stream_placer.h"
 #include "marigoldquay/routing/cluster_view.h"
 
@@ -32,8 +33,9 @@
 class FeedSink {
  public:
   virtual ~FeedSink() = default;
-  /// `complete` is true when `changes` lists every backend server.
-  virtual void OnReplicaChanges(const ReplicaChanges& changes, bool complete) = 0;
+  /// `complete` is true when `changes` lists every backend server. `era` is that of the store when
+  /// the coordinator read them.
+  virtual void OnReplicaChanges(const ReplicaChanges& changes, bool complete, StoreEra era) = 0;
   /// The coordinator has this version of the configuration. `record` is its stored form, or empty
   /// when it has to be read from the store.
   virtual void OnCatalog(std::uint64_t version, const std::string& record) = 0;
@@ -43,8 +45,10 @@
 struct CoordinatorLinkHooks {
   /// This VM with its current readiness.
   std::function<FleetMember()> self;
-  /// When this VM itself last had contact with the store.
-  std::function<absl::Time()> last_store_contact;
+  /// When this VM itself last read from the store.
+  std::function<DataOrigin()> own_origin;
+  /// The latest era that the store has named to this VM.
+  std::function<StoreEra()> store_era;
   /// Whether `vm` reports to the coordinator that runs in this process.
   std::function<bool(absl::string_view vm)> reports_to_this_vm;
 };
@@ -90,8 +94,8 @@
   bool FeedIsFresh() const override;
   bool FeedsOthers() const override;
   void RequestFullServerList() override { needs_servers_ = true; }
-  /// When the store data received from coordinators was read from the store.
-  absl::Time feed_time() const { return feed_time_; }
+  /// Origin of the store data received from coordinators.
+  const DataOrigin& feed_origin() const { return feed_origin_; }
   /// The coordinator of this session, once it has confirmed its role; otherwise nullopt.
   std::optional<FleetMember> confirmed_coordinator() const;
   /// Whether this VM has to read the list of VMs from the store to find a coordinator.
@@ -110,7 +114,7 @@
   // A call waiting for replies; registered in calls_ for its whole lifetime.
   struct Call {
     explicit Call(CoordinatorLink& owner)
-        : link(owner), id(owner.next_call_++), wake_timer(owner.io_) {
+        : link(owner), id(owner.next_call_++), sent_at(owner.clock_.Now()), wake_timer(owner.io_) {
       link.calls_[id] = this;
     }
     ~Call() { link.calls_.erase(id); }
@@ -119,6 +123,7 @@
 
     CoordinatorLink& link;
     const std::uint64_t id;
+    const absl::Time sent_at;
     asio::steady_timer wake_timer;
     // Replies in order of arrival; a queued call receives two.
     std::vector<protocol::PlaceStreamReplyT> replies;
@@ -151,6 +156,12 @@
   void ApplyFeed(const protocol::FleetStateT& state);
   void FollowRedirect(const FleetMember& preferred);
   bool ReportIsDue() const;
+  // Era, age and contents of the store data that the coordinator may not have.
+  void AddStoreReport(protocol::FleetReportT& report, bool first);
+  // Asks for an answer when those so far were too slow to tell how old the states are.
+  void ProbeClock();
+  // Reports the configuration to a coordinator that has an older version.
+  void SendCatalog(std::uint64_t known_version);
   // Age of the feed at which this VM starts to read the store itself.
   absl::Duration MaxFeedAge() const;
   // Waits for a session with a responsive coordinator; false when there is none by `until`.
@@ -214,6 +225,7 @@
   FrameConnectionPtr connection_;
   FleetMember coordinator_;
   std::uint64_t session_ = 0;
+  absl::Time session_start_time_;
   std::uint64_t next_call_ = 1;
   // Not owned; each call lives on the stack of the fiber that waits for it.
   std::map<std::uint64_t, Call*> calls_;
@@ -230,8 +242,20 @@
   // 0 until a coordinator has sent it.
   std::size_t member_count_ = 0;
   absl::Duration report_interval_ = absl::Milliseconds(250);
-  // When the store data last forwarded by a coordinator was read from the store.
-  absl::Time feed_time_ = absl::InfinitePast();
+  // Origin of the store data last forwarded by a coordinator; never goes back.
+  DataOrigin feed_origin_;
+  // Clock of the coordinator of this session.
+  PeerClock peer_clock_;
+  // The last state of this session: its time on the coordinator's clock, 0 when there was none, and
+  // its arrival.
+  std::int64_t state_sent_ms_ = 0;
+  absl::Time state_arrived_at_;
+  // Call that only measures how fast the coordinator answers; 0 when none is open.
+  std::uint64_t clock_probe_ = 0;
+  absl::Time clock_probe_sent_at_;
+  // Whether the next report carries the configuration, and the version last sent in this session.
+  bool sends_catalog_ = false;
+  std::uint64_t sent_catalog_version_ = 0;
   absl::Time last_frame_time_ = absl::InfinitePast();
   // When this VM last switched to another coordinator.
   absl::Time last_switch_time_ = absl::InfinitePast();
--- a/packages/fleet/include/marigoldquay/fleet/followers.h
+++ b/packages/fleet/include/marigoldquay/fleet/followers.h
@@ -47,15 +47,15 @@
   /// Called when the coordinator announces a version. `record` is its stored form; when it is empty
   /// or cannot be decoded, the configuration is read from the store.
   void OnVersionAnnounced(std::uint64_t version, const std::string& record);
-  /// When the store last answered.
-  absl::Time last_contact() const { return last_store_contact_; }
+  /// The last read of the store by this VM.
+  const DataOrigin& origin() const { return origin_; }
 
  private:
   bool FollowsFeed() const;
   absl::Duration CurrentMaxRetryPause() const;
   ErrorOr<CatalogUpdate> ReadNext(Yield yield);
   void Apply(CatalogUpdate update, absl::string_view source);
-  void UpdateStoreContact(bool reachable, const std::string& detail);
+  void LogStoreContact(bool reachable, const std::string& detail);
 
   asio::io_context& io_;
   const Clock& clock_;
@@ -65,9 +65,9 @@
   std::function<void()> on_change_;
   asio::steady_timer wake_timer_;
   std::uint64_t announced_version_ = 0;
-  // Offset of the next read; unset when the newest configuration has to be read in full.
-  std::optional<Offset> next_;
-  absl::Time last_store_contact_ = absl::InfinitePast();
+  // Position of the next read; unset when the newest configuration has to be read in full.
+  std::optional<StorePosition> next_;
+  DataOrigin origin_;
   RetryDelay retry_delay_;
   bool store_reachable_ = true;
 };
@@ -87,16 +87,21 @@
 
   /// Runs until the process ends.
   void Run(Yield yield);
-  /// Applies changes sent by the coordinator; `is_full` tells whether they list all servers.
-  void ApplyFeed(const ReplicaChanges& changes, bool is_full);
-  /// When the store last answered.
-  absl::Time last_contact() const { return last_store_contact_; }
+  /// Applies changes that the coordinator has read in `era`; `is_full` tells whether they list all
+  /// servers.
+  void ApplyFeed(const ReplicaChanges& changes, bool is_full, StoreEra era);
+  /// The last read of the store by this VM.
+  const DataOrigin& origin() const { return origin_; }
 
  private:
   void Apply(const ReplicaUpdate& update, bool is_full_list, absl::string_view source);
   void Set(const Replica& replica, absl::string_view source);
   void ReadOnce(Yield yield);
   void RemoveExpired();
+  // Called with the era of data before they are applied.
+  void OnEra(StoreEra era);
+  // Whether the list may still hold entries of the copy that the store has come back from.
+  bool ListMayBeOutdated() const { return clock_.Now() < outdated_until_; }
 
   asio::io_context& io_;
   const Clock& clock_;
@@ -104,16 +109,19 @@
   ClusterView& view_;
   FeedMonitor& feed_;
   std::function<void()> on_change_;
-  absl::Time last_store_contact_ = absl::InfinitePast();
+  DataOrigin origin_;
+  // The latest era of which data were applied; 0 before the first data.
+  StoreEra era_ = 0;
+  absl::Time outdated_until_ = absl::InfinitePast();
   // Whether this VM has read the list from the store since it last followed the coordinator.
   bool reads_store_ = true;
   // Reasons for skipped entries that have been logged.
   absl::flat_hash_set<std::string> logged_skips_;
-  // Offset of the next read; unset when the full list has to be read.
-  std::optional<Offset> next_;
+  // Position of the next read; unset when the full list has to be read.
+  std::optional<StorePosition> next_;
   // Servers missing from the list, with the time at which they are removed unless they reappear.
   // The time lies ahead only for servers that went missing while or just after the store was
-  // unavailable.
+  // unavailable, or after it came back from a copy.
   std::map<BackendServerId, absl::Time> removal_times_;
   absl::Time store_returned_at_ = absl::InfinitePast();
   RetryDelay retry_delay_;
--- a/packages/fleet/include/marigoldquay/fleet/presence_keeper.h
+++ b/packages/fleet/include/marigoldquay/fleet/presence_keeper.h
@@ -35,13 +35,18 @@
 
   const std::vector<FleetMember>& listed_members() const override { return listed_members_; }
   absl::Time read_at() const override { return read_at_; }
-  bool settled() const override { return read_at_ - first_read_at_ >= kSettleTime; }
+  bool settled() const override {
+    return store_.era() == era_ && read_at_ - first_read_at_ >= kSettleTime;
+  }
 
  private:
   // VMs that start at the same time have announced themselves within this time, unless the store
   // is unavailable.
   static constexpr absl::Duration kSettleTime = absl::Milliseconds(1500);
 
+  // After the store has come back from a copy, VMs are missing from its list until they renew their
+  // announcements.
+  bool IsNewEra();
   void Renew(Yield yield);
   void ReadMembers(Yield yield);
 
@@ -55,6 +60,7 @@
   std::function<bool()> should_announce_;
   absl::Time first_read_at_ = absl::InfiniteFuture();
   absl::Time read_at_ = absl::InfinitePast();
+  StoreEra era_ = 0;
   bool leaving_ = false;
 };
 
--- a/packages/fleet/src/coordinator.cc
+++ b/packages/fleet/src/coordinator.cc
@@ -7,6 +7,7 @@
 #include "absl/cleanup/cleanup.h"
 #include "absl/strings/str_cat.h"
 #include "marigoldquay/core/logger.h"
+#include "marigoldquay/fleet/peer_clock.h"
 #include "wire.h"
 
 namespace marigoldquay {
@@ -197,8 +198,8 @@
 void Coordinator::OnReport(Session& session, const protocol::FleetReportT& report) {
   const absl::Time now = clock_.Now();
   session.member = FromWire(*report.sender);
-  session.last_store_contact = now - absl::Milliseconds(report.store_age_ms);
   reporting_members_.Set(session.member);
+  OnStoreReport(session, report);
   // Levels and charges below refer to these limits.
   for (const auto& limit : report.request_limits) {
     hooks_.on_request_limit(FromWire(*limit, now));
@@ -213,6 +214,25 @@
   }
 }
 
+void Coordinator::OnStoreReport(Session& session, const protocol::FleetReportT& report) {
+  const absl::Time now = clock_.Now();
+  // The report was made after a state of this VM, and may have been under way for long.
+  const absl::Time earliest =
+      ClockFromWire(report.state_sent_ms) + absl::Milliseconds(report.state_held_ms);
+  const absl::Time made_at = report.state_sent_ms > 0 ? std::min(earliest, now) : now;
+  session.store_contact = {report.store_era, made_at - absl::Milliseconds(report.store_age_ms)};
+  for (const auto& departure : report.departures) hooks_.on_departure(FromWire(*departure));
+  session.catalog_version = report.catalog_version;
+  if (report.catalog_version <= CatalogVersion()) return;
+  if (!report.catalog.empty()) {
+    hooks_.on_catalog(report.catalog_version, {report.catalog.begin(), report.catalog.end()});
+    return;
+  }
+  if (std::exchange(asked_catalog_version_, report.catalog_version) < report.catalog_version) {
+    TriggerStateBroadcast();
+  }
+}
+
 void Coordinator::OnPromptReport(const protocol::FleetReportT& report) {
   const absl::Time now = clock_.Now();
   bool changed = false;
@@ -294,7 +314,7 @@
   if (request.service.empty()) {
     // The request only charges the quota. If it is admitted, the reply is a grant without engines.
     (void)ChargeQuota(request, refusal);
-    session.connection->Send(protocol::MessageType::PlaceStream, call_id, refusal);
+    SendReply(session, call_id, refusal);
     return;
   }
   StreamScheduler& scheduler = SchedulerFor(request.service);
@@ -310,7 +330,7 @@
   }
   const StreamDemand demand = DemandFromWire(request, now);
   if (RefusesPrompt(demand, refusal) || !ChargeQuota(request, refusal)) {
-    session.connection->Send(protocol::MessageType::PlaceStream, call_id, refusal);
+    SendReply(session, call_id, refusal);
     return;
   }
   const auto decision = scheduler.Place(demand, now);
@@ -351,6 +371,12 @@
       session.tickets.erase({service, decision.ticket});
       break;
   }
+  SendReply(session, call_id, reply);
+}
+
+void Coordinator::SendReply(Session& session, std::uint64_t call_id,
+                            protocol::PlaceStreamReplyT& reply) {
+  reply.sent_ms = ClockToWire(clock_.Now());
   session.connection->Send(protocol::MessageType::PlaceStream, call_id, reply);
 }
 
--- a/packages/fleet/src/coordinator_link.cc
+++ b/packages/fleet/src/coordinator_link.cc
@@ -45,6 +45,9 @@
 constexpr absl::Duration kMaxListAge = absl::Seconds(3);
 constexpr absl::Duration kMaxStoreContactAge = absl::Seconds(1);
 constexpr absl::Duration kMaxReportedAge = absl::Hours(1);
+// States whose age is known less well make a VM read the store although the coordinator's data are
+// recent.
+constexpr absl::Duration kMaxClockUncertainty = absl::Milliseconds(150);
 
 double RandomFraction() {
   static std::mt19937_64 generator{std::random_device{}()};
@@ -84,7 +87,8 @@
 }
 
 bool CoordinatorLink::FeedIsFresh() const {
-  return connected() && !FeedsOthers() && clock_.Now() - feed_time_ < MaxFeedAge();
+  return connected() && !FeedsOthers() && feed_origin_.era >= hooks_.store_era() &&
+         clock_.Now() - feed_origin_.read_at < MaxFeedAge();
 }
 
 std::optional<FleetMember> CoordinatorLink::confirmed_coordinator() const {
@@ -151,8 +155,13 @@
   coordinator_ = peer;
   coordinator_confirmed_ = false;
   ++session_;
+  session_start_time_ = clock_.Now();
   coordinator_unresponsive_ = false;
   last_frame_time_ = clock_.Now();
+  peer_clock_ = PeerClock();
+  state_sent_ms_ = 0;
+  clock_probe_ = 0;
+  sent_catalog_version_ = 0;
   Log().Event("coordinator_session",
               LogFields().Add("vm", peer.instance.ToString()).Add("session", session_));
   SendReport();
@@ -298,10 +307,29 @@
     changes.updated.push_back(FromWire(*entry, clock_.Now()));
   }
   changes.removed = state.removed_servers;
-  feed_.OnReplicaChanges(changes, state.whole_servers);
+  feed_.OnReplicaChanges(changes, state.whole_servers, state.store_era);
   feed_.OnCatalog(state.catalog_version, std::string(state.catalog.begin(), state.catalog.end()));
-  // The feed time never goes back, even if a new coordinator has older data.
-  feed_time_ = std::max(feed_time_, clock_.Now() - absl::Milliseconds(state.store_age_ms));
+  if (state_sent_ms_ == 0) {
+    // The first state of a session follows the first report.
+    peer_clock_.OnAnswer(session_start_time_, ClockFromWire(state.sent_ms));
+  }
+  state_sent_ms_ = state.sent_ms;
+  state_arrived_at_ = clock_.Now();
+  const absl::Time sent_at = peer_clock_.OnMessage(ClockFromWire(state.sent_ms), state_arrived_at_);
+  const DataOrigin origin{state.store_era, sent_at - absl::Milliseconds(state.store_age_ms)};
+  // A new coordinator may have older data.
+  feed_origin_ = std::max(feed_origin_, origin);
+  if (state.catalog_source == hooks_.self().instance.vm) SendCatalog(state.catalog_version);
+}
+
+void CoordinatorLink::SendCatalog(std::uint64_t known_version) {
+  const auto catalog = view_.catalog();
+  if (!catalog) return;
+  const std::uint64_t version = catalog->version();
+  if (version <= std::max(known_version, sent_catalog_version_)) return;
+  sent_catalog_version_ = version;
+  sends_catalog_ = true;
+  SendReport();
 }
 
 void CoordinatorLink::FollowRedirect(const FleetMember& preferred) {
@@ -329,8 +357,14 @@
 }
 
 void CoordinatorLink::OnReply(std::uint64_t call_id, const protocol::PlaceStreamReplyT& reply) {
+  if (call_id == clock_probe_ && clock_probe_ != 0) {
+    clock_probe_ = 0;
+    peer_clock_.OnAnswer(clock_probe_sent_at_, ClockFromWire(reply.sent_ms));
+    return;
+  }
   const auto found = calls_.find(call_id);
   if (found != calls_.end()) {
+    peer_clock_.OnAnswer(found->second->sent_at, ClockFromWire(reply.sent_ms));
     found->second->replies.push_back(reply);
     found->second->wake_timer.cancel();
     return;
@@ -365,9 +399,6 @@
   protocol::FleetReportT report;
   report.sender = ToWire(hooks_.self());
   last_report_time_ = clock_.Now();
-  const absl::Duration store_age =
-      std::min(clock_.Now() - hooks_.last_store_contact(), kMaxReportedAge);
-  report.store_age_ms = static_cast<std::uint32_t>(absl::ToInt64Milliseconds(store_age));
   report.leaving_servers.assign(leaving_servers_.begin(), leaving_servers_.end());
   leaving_servers_.clear();
   report.needs_servers = std::exchange(needs_servers_, false);
@@ -377,6 +408,7 @@
     report.spent.push_back(ToWire(account, tokens));
   }
   const bool first = std::exchange(reported_session_, session_) != session_;
+  AddStoreReport(report, first);
   AddRequestLimits(report, first);
   AddPromptReport(report, first);
   if (first) {
@@ -388,6 +420,39 @@
   connection_->Send(protocol::MessageType::FleetReport, 0, report);
 }
 
+void CoordinatorLink::AddStoreReport(protocol::FleetReportT& report, bool first) {
+  const absl::Time now = clock_.Now();
+  const DataOrigin origin = hooks_.own_origin();
+  const absl::Duration age = std::min(now - origin.read_at, kMaxReportedAge);
+  report.store_era = origin.era;
+  report.store_age_ms = static_cast<std::uint32_t>(absl::ToInt64Milliseconds(age));
+  report.state_sent_ms = state_sent_ms_;
+  if (state_sent_ms_ != 0) {
+    report.state_held_ms =
+        static_cast<std::uint32_t>(absl::ToInt64Milliseconds(now - state_arrived_at_));
+  }
+  if (std::exchange(sends_catalog_, false)) {
+    const std::string& record = view_.catalog_record();
+    report.catalog.assign(record.begin(), record.end());
+  }
+  if (!first) return;
+  for (const ServerDeparture& departure : view_.replicas().departures()) {
+    report.departures.push_back(ToWire(departure));
+  }
+}
+
+void CoordinatorLink::ProbeClock() {
+  if (!connection_ || FeedsOthers() || clock_probe_ != 0 || state_sent_ms_ == 0 ||
+      peer_clock_.uncertainty() <= kMaxClockUncertainty) {
+    return;
+  }
+  clock_probe_ = next_call_++;
+  clock_probe_sent_at_ = clock_.Now();
+  // Charges nothing.
+  connection_->Send(protocol::MessageType::PlaceStream, clock_probe_,
+                    protocol::PlaceStreamRequestT());
+}
+
 void CoordinatorLink::AddRequestLimits(protocol::FleetReportT& report, bool first) {
   if (!first && servers_with_new_limit_.empty()) return;
   for (const StatedRequestLimit& stated : view_.replicas().stated_limits()) {
@@ -418,9 +483,9 @@
 bool CoordinatorLink::ReportIsDue() const {
   if (balances_.has_unreported() || !leaving_servers_.empty() || needs_servers_) return true;
   const absl::Time now = clock_.Now();
-  const bool reaches_store = now - hooks_.last_store_contact() < kMaxStoreContactAge;
+  const bool reaches_store = now - hooks_.own_origin().read_at < kMaxStoreContactAge;
   // A coordinator that has lost the store hands over to a VM that can reach it.
-  if (reaches_store && now - feed_time_ >= kStandbyMaxFeedAge) return true;
+  if (reaches_store && now - feed_origin_.read_at >= kStandbyMaxFeedAge) return true;
   return now - last_report_time_ >= kMaxReportInterval;
 }
 
@@ -428,6 +493,7 @@
   while (true) {
     SleepFor(io_, report_interval_, yield);
     if (ReportIsDue()) SendReport();
+    ProbeClock();
     ProbePreferredCoordinator();
   }
 }
--- a/packages/fleet/src/coordinator_state.cc
+++ b/packages/fleet/src/coordinator_state.cc
@@ -7,6 +7,7 @@
 #include "absl/container/flat_hash_set.h"
 #include "marigoldquay/dispatch/quota_balances.h"
 #include "marigoldquay/fleet/coordinator.h"
+#include "marigoldquay/fleet/peer_clock.h"
 #include "wire.h"
 
 namespace marigoldquay {
@@ -72,7 +73,8 @@
 std::optional<FleetMember> Coordinator::BestMemberWithStoreContact() const {
   std::vector<FleetMember> in_contact;
   for (const Session* session : sessions_) {
-    const bool has_contact = clock_.Now() - session->last_store_contact < kMaxStoreContactAge;
+    const bool has_contact = clock_.Now() - session->store_contact.read_at < kMaxStoreContactAge &&
+                             session->store_contact.era >= hooks_.data_origin().era;
     const bool other = session->member.instance.vm != self_.instance.vm;
     if (session->reported && has_contact && other) in_contact.push_back(session->member);
   }
@@ -85,7 +87,7 @@
   const auto followed_member = hooks_.followed_member();
   if (followed_member && followed_member->instance.vm != self_.instance.vm) return *followed_member;
   if (leaving_) return Successor().value_or(self_);
-  const bool store_lost = clock_.Now() - hooks_.store_read_time() > kStoreLostAfter;
+  const bool store_lost = clock_.Now() - hooks_.data_origin().read_at > kStoreLostAfter;
   return store_lost ? BestMemberWithStoreContact().value_or(self_) : self_;
 }
 
@@ -99,10 +101,14 @@
   state.coordinator = ToWire(PreferredCoordinator());
   state.member_count = static_cast<std::uint32_t>(MemberCount());
   state.interval_ms = static_cast<std::uint32_t>(absl::ToInt64Milliseconds(StateInterval()));
-  const absl::Duration store_age = clock_.Now() - hooks_.store_read_time();
+  const DataOrigin origin = hooks_.data_origin();
+  const absl::Duration store_age = clock_.Now() - origin.read_at;
+  state.store_era = origin.era;
+  state.sent_ms = ClockToWire(clock_.Now());
   state.store_age_ms =
       static_cast<std::uint32_t>(absl::ToInt64Milliseconds(std::min(store_age, kMaxReportedAge)));
   state.quarantined = ToWire(quarantine_, clock_.Now());
+  state.catalog_source = CatalogSource();
   const auto catalog = view_.catalog();
   if (!catalog) return state;
   state.catalog_version = catalog->version();
@@ -122,6 +128,22 @@
   state.balances.push_back(ToWire(quota.account, level));
 }
 
+std::uint64_t Coordinator::CatalogVersion() const {
+  const auto catalog = view_.catalog();
+  return catalog ? catalog->version() : 0;
+}
+
+VmId Coordinator::CatalogSource() const {
+  std::uint64_t newest = CatalogVersion();
+  VmId source;
+  for (const Session* session : sessions_) {
+    if (!session->reported || session->catalog_version <= newest) continue;
+    newest = session->catalog_version;
+    source = session->member.instance.vm;
+  }
+  return source;
+}
+
 bool Coordinator::SendsCatalog() const {
   const std::size_t size = view_.catalog_record().size();
   return size > 0 && size <= kMaxRecordBytes && size * sessions_.size() <= kMaxTotalCatalogBytes;
@@ -138,7 +160,7 @@
 void Coordinator::AddReplicas(std::uint64_t since, protocol::FleetStateT& state) const {
   const auto changes = view_.replicas().ChangesSince(since);
   // Before the first read of the store the list is incomplete.
-  state.whole_servers = since == 0 && hooks_.store_read_time() != absl::InfinitePast();
+  state.whole_servers = since == 0 && hooks_.data_origin().read_at != absl::InfinitePast();
   state.backend_servers.clear();
   for (const Replica& replica : changes.updated) {
     state.backend_servers.push_back(ToWire(replica, clock_.Now()));
--- a/packages/fleet/src/followers.cc
+++ b/packages/fleet/src/followers.cc
@@ -37,6 +37,9 @@
 // Entries that expired while the store was unavailable reappear within this time if the server is
 // alive.
 constexpr absl::Duration kReappearanceGrace = absl::Milliseconds(2200);
+// By this time after the store came back from a copy, it has dropped the entries of the copy whose
+// servers do not write any more.
+constexpr absl::Duration kOutdatedListTime = absl::Seconds(6);
 
 // Reasons that are remembered, so that each is logged once.
 constexpr std::size_t kMaxLoggedSkips = 100;
@@ -58,8 +61,7 @@
 
 }  // namespace
 
-void CatalogFollower::UpdateStoreContact(bool reachable, const std::string& detail) {
-  if (reachable) last_store_contact_ = clock_.Now();
+void CatalogFollower::LogStoreContact(bool reachable, const std::string& detail) {
   if (std::exchange(store_reachable_, reachable) == reachable) return;
   LogFields fields;
   fields.Add("dependency", "store").Add("detail", detail);
@@ -89,7 +91,7 @@
     if (contents) {
       // The log offset that follows this version is unknown.
       next_.reset();
-      Apply({std::move(*contents), record, {}, 0}, "coordinator");
+      Apply({std::move(*contents), record, {}, {}}, "coordinator");
     } else {
       LogSkipped("configuration_skipped", contents.error().ToString());
     }
@@ -127,7 +129,8 @@
     auto update = ReadNext(yield);
     if (update) {
       retry_delay_.Reset();
-      UpdateStoreContact(true, "");
+      LogStoreContact(true, "");
+      origin_ = {update->next.era, clock_.Now()};
       const bool has_update = update->catalog.has_value();
       const bool has_catalog = has_update || view_.catalog() != nullptr;
       next_ = update->next;
@@ -137,15 +140,25 @@
       if (!has_catalog || (!has_update && FollowsFeed())) SleepFor(io_, kStaleReadPause, yield);
       continue;
     }
-    // Discarded records were replaced by a newer full configuration.
+    // Discarded records were replaced by a newer full configuration, and offsets of an earlier era
+    // name other records now.
     if (update.error().code == ErrorCode::kNotFound) next_.reset();
-    UpdateStoreContact(update.error().code == ErrorCode::kNotFound, update.error().ToString());
+    LogStoreContact(update.error().code == ErrorCode::kNotFound, update.error().ToString());
     SleepFor(io_, retry_delay_.Next(CurrentMaxRetryPause(), clock_.Now() - started), yield);
   }
 }
 
+void ReplicaFollower::OnEra(StoreEra era) {
+  if (era <= era_) return;
+  const bool returned = std::exchange(era_, era) != 0;
+  if (!returned) return;
+  store_returned_at_ = clock_.Now();
+  outdated_until_ = clock_.Now() + kOutdatedListTime;
+  Log().Event("store_returned_from_copy", LogFields().Add("era", era), LogLevel::kWarn);
+}
+
 void ReplicaFollower::Set(const Replica& replica, absl::string_view source) {
-  if (!view_.replicas().Upsert(replica)) return;
+  if (!view_.replicas().Upsert(replica, ListMayBeOutdated())) return;
   constexpr absl::string_view kRoles[] = {"prefill", "decode"};
   LogFields fields;
   fields.Add("backend_server", replica.id)
@@ -161,9 +174,10 @@
   Log().Event("backend_server", fields);
 }
 
-void ReplicaFollower::ApplyFeed(const ReplicaChanges& changes, bool is_full) {
+void ReplicaFollower::ApplyFeed(const ReplicaChanges& changes, bool is_full, StoreEra era) {
+  OnEra(era);
   if (!is_full && changes.updated.empty() && changes.removed.empty()) return;
-  Apply({changes.updated, changes.removed, {}, 0}, is_full, "coordinator");
+  Apply({changes.updated, changes.removed, {}, {}}, is_full, "coordinator");
 }
 
 void ReplicaFollower::Apply(const ReplicaUpdate& update, bool is_full_list,
@@ -214,15 +228,16 @@
   const auto update =
       is_full_list ? store_.ListReplicas(yield) : store_.ReadReplicaChanges(*next_, yield);
   if (update) {
-    last_store_contact_ = clock_.Now();
+    origin_ = {update->next.era, clock_.Now()};
     retry_delay_.Reset();
     if (std::exchange(store_unavailable_, false)) store_returned_at_ = clock_.Now();
+    OnEra(update->next.era);
     next_ = update->next;
     Apply(*update, is_full_list, "store");
     SleepFor(io_, feed_.FeedsOthers() ? kFeedingReplicaPoll : kReplicaPoll, yield);
     return;
   }
-  // When the history was discarded, the full list is read without a pause.
+  // When the history was discarded or the era has ended, the full list is read without a pause.
   if (update.error().code == ErrorCode::kNotFound) {
     next_.reset();
     return;
@@ -236,6 +251,12 @@
 
 void ReplicaFollower::Run(Yield yield) {
   while (true) {
+    if (outdated_until_ != absl::InfinitePast() && !ListMayBeOutdated()) {
+      outdated_until_ = absl::InfinitePast();
+      // Entries that were ignored as outdated hold now.
+      next_.reset();
+      feed_.RequestFullServerList();
+    }
     if (!feed_.FeedIsFresh()) {
       reads_store_ = true;
       ReadOnce(yield);
--- a/packages/fleet/src/presence_keeper.cc
+++ b/packages/fleet/src/presence_keeper.cc
@@ -25,6 +25,7 @@
 void PresenceKeeper::Run(Yield yield) {
   absl::Time next_renewal = absl::InfinitePast();
   while (!leaving_) {
+    if (IsNewEra()) next_renewal = absl::InfinitePast();
     if (clock_.Now() >= next_renewal && should_announce_()) {
       next_renewal = clock_.Now() + kRenewalInterval;
       Renew(yield);
@@ -36,6 +37,13 @@
   }
 }
 
+bool PresenceKeeper::IsNewEra() {
+  if (store_.era() == era_) return false;
+  era_ = store_.era();
+  first_read_at_ = absl::InfiniteFuture();
+  return true;
+}
+
 void PresenceKeeper::Renew(Yield yield) {
   const auto renewed = store_.RenewPresence(name_, kPresenceTtl, yield);
   if (renewed) return;
--- a/packages/fleet/src/wire.cc
+++ b/packages/fleet/src/wire.cc
@@ -103,6 +103,19 @@
   return {wire.parts, now + absl::Milliseconds(wire.left_ms)};
 }
 
+std::unique_ptr<protocol::ServerDepartureT> ToWire(const ServerDeparture& departure) {
+  auto wire = std::make_unique<protocol::ServerDepartureT>();
+  wire->server = departure.server;
+  wire->started_unix_ms = departure.started_unix_ms;
+  wire->sequence = departure.sequence;
+  wire->removed = departure.removed;
+  return wire;
+}
+
+ServerDeparture FromWire(const protocol::ServerDepartureT& wire) {
+  return {wire.server, wire.started_unix_ms, wire.sequence, wire.removed};
+}
+
 std::unique_ptr<protocol::BackendEntryT> ToWire(const Replica& replica, absl::Time now) {
   auto wire = std::make_unique<protocol::BackendEntryT>();
   wire->id = replica.id;
@@ -113,6 +126,7 @@
   wire->draining = replica.draining;
   if (replica.role) wire->role = *replica.role == EngineRole::kPrefill ? kWirePrefill : kWireDecode;
   wire->started_unix_ms = replica.started_unix_ms;
+  wire->sequence = replica.sequence;
   if (replica.request_limit.stated_at != absl::InfinitePast()) {
     wire->request_limit =
         ToWire(StatedRequestLimit{replica.id, replica.started_unix_ms, replica.request_limit}, now);
@@ -128,6 +142,7 @@
   replica.availability_zone = wire.availability_zone;
   replica.slots = wire.slots;
   replica.draining = wire.draining;
+  replica.sequence = wire.sequence;
   if (wire.role == kWirePrefill) replica.role = EngineRole::kPrefill;
   if (wire.role == kWireDecode) replica.role = EngineRole::kDecode;
   replica.started_unix_ms = wire.started_unix_ms;
--- a/packages/fleet/src/wire.h
+++ b/packages/fleet/src/wire.h
@@ -35,6 +35,8 @@
 std::vector<std::unique_ptr<protocol::QuarantinedPromptT>> ToWire(
     const PromptQuarantine& quarantine, absl::Time now);
 QuarantinedPrompt FromWire(const protocol::QuarantinedPromptT& wire, absl::Time now);
+std::unique_ptr<protocol::ServerDepartureT> ToWire(const ServerDeparture& departure);
+ServerDeparture FromWire(const protocol::ServerDepartureT& wire);
 std::unique_ptr<protocol::BackendEntryT> ToWire(const Replica& replica, absl::Time now);
 Replica FromWire(const protocol::BackendEntryT& wire, absl::Time now);
 
--- a/packages/protocol/include/marigoldquay/protocol/inner_generated.h
+++ b/packages/protocol/include/marigoldquay/protocol/inner_generated.h
@@ -172,6 +172,10 @@
 struct FleetReportBuilder;
 struct FleetReportT;
 
+struct ServerDeparture;
+struct ServerDepartureBuilder;
+struct ServerDepartureT;
+
 struct BackendEntry;
 struct BackendEntryBuilder;
 struct BackendEntryT;
@@ -270,6 +274,8 @@
 bool operator!=(const QuarantinedPromptT &lhs, const QuarantinedPromptT &rhs);
 bool operator==(const FleetReportT &lhs, const FleetReportT &rhs);
 bool operator!=(const FleetReportT &lhs, const FleetReportT &rhs);
+bool operator==(const ServerDepartureT &lhs, const ServerDepartureT &rhs);
+bool operator!=(const ServerDepartureT &lhs, const ServerDepartureT &rhs);
 bool operator==(const BackendEntryT &lhs, const BackendEntryT &rhs);
 bool operator!=(const BackendEntryT &lhs, const BackendEntryT &rhs);
 bool operator==(const FleetStateT &lhs, const FleetStateT &rhs);
@@ -5128,6 +5134,11 @@
   std::vector<std::unique_ptr<marigoldquay::protocol::RequestLimitT>> request_limits{};
   std::vector<std::unique_ptr<marigoldquay::protocol::EngineCrashT>> crashes{};
   std::vector<std::unique_ptr<marigoldquay::protocol::QuarantinedPromptT>> quarantined{};
+  uint64_t store_era = 0;
+  int64_t state_sent_ms = 0;
+  uint32_t state_held_ms = 0;
+  std::vector<uint8_t> catalog{};
+  std::vector<std::unique_ptr<marigoldquay::protocol::ServerDepartureT>> departures{};
   FleetReportT() = default;
   FleetReportT(const FleetReportT &o);
   FleetReportT(FleetReportT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -5152,7 +5163,12 @@
     VT_NEEDS_SERVERS = 18,
     VT_REQUEST_LIMITS = 20,
     VT_CRASHES = 22,
-    VT_QUARANTINED = 24
+    VT_QUARANTINED = 24,
+    VT_STORE_ERA = 26,
+    VT_STATE_SENT_MS = 28,
+    VT_STATE_HELD_MS = 30,
+    VT_CATALOG = 32,
+    VT_DEPARTURES = 34
   };
   const marigoldquay::protocol::FleetMember *sender() const {
     return GetPointer<const marigoldquay::protocol::FleetMember *>(VT_SENDER);
@@ -5187,6 +5203,21 @@
   const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>> *quarantined() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>> *>(VT_QUARANTINED);
   }
+  uint64_t store_era() const {
+    return GetField<uint64_t>(VT_STORE_ERA, 0);
+  }
+  int64_t state_sent_ms() const {
+    return GetField<int64_t>(VT_STATE_SENT_MS, 0);
+  }
+  uint32_t state_held_ms() const {
+    return GetField<uint32_t>(VT_STATE_HELD_MS, 0);
+  }
+  const flatbuffers::Vector<uint8_t> *catalog() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_CATALOG);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::ServerDeparture>> *departures() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::ServerDeparture>> *>(VT_DEPARTURES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_SENDER) &&
@@ -5213,6 +5244,14 @@
            VerifyOffset(verifier, VT_QUARANTINED) &&
            verifier.VerifyVector(quarantined()) &&
            verifier.VerifyVectorOfTables(quarantined()) &&
+           VerifyField<uint64_t>(verifier, VT_STORE_ERA, 8) &&
+           VerifyField<int64_t>(verifier, VT_STATE_SENT_MS, 8) &&
+           VerifyField<uint32_t>(verifier, VT_STATE_HELD_MS, 4) &&
+           VerifyOffset(verifier, VT_CATALOG) &&
+           verifier.VerifyVector(catalog()) &&
+           VerifyOffset(verifier, VT_DEPARTURES) &&
+           verifier.VerifyVector(departures()) &&
+           verifier.VerifyVectorOfTables(departures()) &&
            verifier.EndTable();
   }
   FleetReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5257,6 +5296,21 @@
   void add_quarantined(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>>> quarantined) {
     fbb_.AddOffset(FleetReport::VT_QUARANTINED, quarantined);
   }
+  void add_store_era(uint64_t store_era) {
+    fbb_.AddElement<uint64_t>(FleetReport::VT_STORE_ERA, store_era, 0);
+  }
+  void add_state_sent_ms(int64_t state_sent_ms) {
+    fbb_.AddElement<int64_t>(FleetReport::VT_STATE_SENT_MS, state_sent_ms, 0);
+  }
+  void add_state_held_ms(uint32_t state_held_ms) {
+    fbb_.AddElement<uint32_t>(FleetReport::VT_STATE_HELD_MS, state_held_ms, 0);
+  }
+  void add_catalog(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> catalog) {
+    fbb_.AddOffset(FleetReport::VT_CATALOG, catalog);
+  }
+  void add_departures(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::ServerDeparture>>> departures) {
+    fbb_.AddOffset(FleetReport::VT_DEPARTURES, departures);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5281,9 +5335,19 @@
     bool needs_servers = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::RequestLimit>>> request_limits = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::EngineCrash>>> crashes = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>>> quarantined = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>>> quarantined = 0,
+    uint64_t store_era = 0,
+    int64_t state_sent_ms = 0,
+    uint32_t state_held_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> catalog = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::ServerDeparture>>> departures = 0) {
   FleetReportBuilder builder_(_fbb);
+  builder_.add_state_sent_ms(state_sent_ms);
+  builder_.add_store_era(store_era);
   builder_.add_catalog_version(catalog_version);
+  builder_.add_departures(departures);
+  builder_.add_catalog(catalog);
+  builder_.add_state_held_ms(state_held_ms);
   builder_.add_quarantined(quarantined);
   builder_.add_crashes(crashes);
   builder_.add_request_limits(request_limits);
@@ -5314,13 +5378,20 @@
     bool needs_servers = false,
     const std::vector<flatbuffers::Offset<marigoldquay::protocol::RequestLimit>> *request_limits = nullptr,
     const std::vector<flatbuffers::Offset<marigoldquay::protocol::EngineCrash>> *crashes = nullptr,
-    const std::vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>> *quarantined = nullptr) {
+    const std::vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>> *quarantined = nullptr,
+    uint64_t store_era = 0,
+    int64_t state_sent_ms = 0,
+    uint32_t state_held_ms = 0,
+    const std::vector<uint8_t> *catalog = nullptr,
+    const std::vector<flatbuffers::Offset<marigoldquay::protocol::ServerDeparture>> *departures = nullptr) {
   auto spent__ = spent ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::AccountTokens>>(*spent) : 0;
   auto levels__ = levels ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::AccountTokens>>(*levels) : 0;
   auto leaving_servers__ = leaving_servers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*leaving_servers) : 0;
   auto request_limits__ = request_limits ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::RequestLimit>>(*request_limits) : 0;
   auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::EngineCrash>>(*crashes) : 0;
   auto quarantined__ = quarantined ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>>(*quarantined) : 0;
+  auto catalog__ = catalog ? _fbb.CreateVector<uint8_t>(*catalog) : 0;
+  auto departures__ = departures ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::ServerDeparture>>(*departures) : 0;
   return marigoldquay::protocol::CreateFleetReport(
       _fbb,
       sender,
@@ -5333,11 +5404,130 @@
       needs_servers,
       request_limits__,
       crashes__,
-      quarantined__);
+      quarantined__,
+      store_era,
+      state_sent_ms,
+      state_held_ms,
+      catalog__,
+      departures__);
 }
 
 flatbuffers::Offset<FleetReport> CreateFleetReport(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct ServerDepartureT : public flatbuffers::NativeTable {
+  typedef ServerDeparture TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "marigoldquay.protocol.ServerDepartureT";
+  }
+  std::string server{};
+  int64_t started_unix_ms = 0;
+  int64_t sequence = 0;
+  bool removed = false;
+};
+
+struct ServerDeparture FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ServerDepartureT NativeTableType;
+  typedef ServerDepartureBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "marigoldquay.protocol.ServerDeparture";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVER = 4,
+    VT_STARTED_UNIX_MS = 6,
+    VT_SEQUENCE = 8,
+    VT_REMOVED = 10
+  };
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  int64_t started_unix_ms() const {
+    return GetField<int64_t>(VT_STARTED_UNIX_MS, 0);
+  }
+  int64_t sequence() const {
+    return GetField<int64_t>(VT_SEQUENCE, 0);
+  }
+  bool removed() const {
+    return GetField<uint8_t>(VT_REMOVED, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyField<int64_t>(verifier, VT_STARTED_UNIX_MS, 8) &&
+           VerifyField<int64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<uint8_t>(verifier, VT_REMOVED, 1) &&
+           verifier.EndTable();
+  }
+  ServerDepartureT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ServerDepartureT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ServerDeparture> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServerDepartureT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ServerDepartureBuilder {
+  typedef ServerDeparture Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(ServerDeparture::VT_SERVER, server);
+  }
+  void add_started_unix_ms(int64_t started_unix_ms) {
+    fbb_.AddElement<int64_t>(ServerDeparture::VT_STARTED_UNIX_MS, started_unix_ms, 0);
+  }
+  void add_sequence(int64_t sequence) {
+    fbb_.AddElement<int64_t>(ServerDeparture::VT_SEQUENCE, sequence, 0);
+  }
+  void add_removed(bool removed) {
+    fbb_.AddElement<uint8_t>(ServerDeparture::VT_REMOVED, static_cast<uint8_t>(removed), 0);
+  }
+  explicit ServerDepartureBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ServerDeparture> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ServerDeparture>(end);
+    fbb_.Required(o, ServerDeparture::VT_SERVER);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ServerDeparture> CreateServerDeparture(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    int64_t started_unix_ms = 0,
+    int64_t sequence = 0,
+    bool removed = false) {
+  ServerDepartureBuilder builder_(_fbb);
+  builder_.add_sequence(sequence);
+  builder_.add_started_unix_ms(started_unix_ms);
+  builder_.add_server(server);
+  builder_.add_removed(removed);
+  return builder_.Finish();
+}
+
+struct ServerDeparture::Traits {
+  using type = ServerDeparture;
+  static auto constexpr Create = CreateServerDeparture;
+};
+
+inline flatbuffers::Offset<ServerDeparture> CreateServerDepartureDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *server = nullptr,
+    int64_t started_unix_ms = 0,
+    int64_t sequence = 0,
+    bool removed = false) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  return marigoldquay::protocol::CreateServerDeparture(
+      _fbb,
+      server__,
+      started_unix_ms,
+      sequence,
+      removed);
+}
+
+flatbuffers::Offset<ServerDeparture> CreateServerDeparture(flatbuffers::FlatBufferBuilder &_fbb, const ServerDepartureT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct BackendEntryT : public flatbuffers::NativeTable {
   typedef BackendEntry TableType;
   static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
@@ -5352,6 +5542,7 @@
   uint8_t role = 0;
   int64_t started_unix_ms = 0;
   std::unique_ptr<marigoldquay::protocol::RequestLimitT> request_limit{};
+  int64_t sequence = 0;
   BackendEntryT() = default;
   BackendEntryT(const BackendEntryT &o);
   BackendEntryT(BackendEntryT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -5374,7 +5565,8 @@
     VT_DRAINING = 14,
     VT_ROLE = 16,
     VT_STARTED_UNIX_MS = 18,
-    VT_REQUEST_LIMIT = 20
+    VT_REQUEST_LIMIT = 20,
+    VT_SEQUENCE = 22
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -5403,6 +5595,9 @@
   const marigoldquay::protocol::RequestLimit *request_limit() const {
     return GetPointer<const marigoldquay::protocol::RequestLimit *>(VT_REQUEST_LIMIT);
   }
+  int64_t sequence() const {
+    return GetField<int64_t>(VT_SEQUENCE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_ID) &&
@@ -5419,6 +5614,7 @@
            VerifyField<int64_t>(verifier, VT_STARTED_UNIX_MS, 8) &&
            VerifyOffset(verifier, VT_REQUEST_LIMIT) &&
            verifier.VerifyTable(request_limit()) &&
+           VerifyField<int64_t>(verifier, VT_SEQUENCE, 8) &&
            verifier.EndTable();
   }
   BackendEntryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5457,6 +5653,9 @@
   void add_request_limit(flatbuffers::Offset<marigoldquay::protocol::RequestLimit> request_limit) {
     fbb_.AddOffset(BackendEntry::VT_REQUEST_LIMIT, request_limit);
   }
+  void add_sequence(int64_t sequence) {
+    fbb_.AddElement<int64_t>(BackendEntry::VT_SEQUENCE, sequence, 0);
+  }
   explicit BackendEntryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5479,8 +5678,10 @@
     bool draining = false,
     uint8_t role = 0,
     int64_t started_unix_ms = 0,
-    flatbuffers::Offset<marigoldquay::protocol::RequestLimit> request_limit = 0) {
+    flatbuffers::Offset<marigoldquay::protocol::RequestLimit> request_limit = 0,
+    int64_t sequence = 0) {
   BackendEntryBuilder builder_(_fbb);
+  builder_.add_sequence(sequence);
   builder_.add_started_unix_ms(started_unix_ms);
   builder_.add_request_limit(request_limit);
   builder_.add_slots(slots);
@@ -5508,7 +5709,8 @@
     bool draining = false,
     uint8_t role = 0,
     int64_t started_unix_ms = 0,
-    flatbuffers::Offset<marigoldquay::protocol::RequestLimit> request_limit = 0) {
+    flatbuffers::Offset<marigoldquay::protocol::RequestLimit> request_limit = 0,
+    int64_t sequence = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
@@ -5523,7 +5725,8 @@
       draining,
       role,
       started_unix_ms,
-      request_limit);
+      request_limit,
+      sequence);
 }
 
 flatbuffers::Offset<BackendEntry> CreateBackendEntry(flatbuffers::FlatBufferBuilder &_fbb, const BackendEntryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5547,6 +5750,9 @@
   std::vector<std::string> removed_members{};
   std::vector<uint8_t> catalog{};
   std::vector<std::unique_ptr<marigoldquay::protocol::QuarantinedPromptT>> quarantined{};
+  uint64_t store_era = 0;
+  int64_t sent_ms = 0;
+  std::string catalog_source{};
   FleetStateT() = default;
   FleetStateT(const FleetStateT &o);
   FleetStateT(FleetStateT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -5574,7 +5780,10 @@
     VT_WHOLE_SERVERS = 24,
     VT_REMOVED_MEMBERS = 26,
     VT_CATALOG = 28,
-    VT_QUARANTINED = 30
+    VT_QUARANTINED = 30,
+    VT_STORE_ERA = 32,
+    VT_SENT_MS = 34,
+    VT_CATALOG_SOURCE = 36
   };
   const marigoldquay::protocol::FleetMember *coordinator() const {
     return GetPointer<const marigoldquay::protocol::FleetMember *>(VT_COORDINATOR);
@@ -5618,6 +5827,15 @@
   const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>> *quarantined() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>> *>(VT_QUARANTINED);
   }
+  uint64_t store_era() const {
+    return GetField<uint64_t>(VT_STORE_ERA, 0);
+  }
+  int64_t sent_ms() const {
+    return GetField<int64_t>(VT_SENT_MS, 0);
+  }
+  const flatbuffers::String *catalog_source() const {
+    return GetPointer<const flatbuffers::String *>(VT_CATALOG_SOURCE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_COORDINATOR) &&
@@ -5648,6 +5866,10 @@
            VerifyOffset(verifier, VT_QUARANTINED) &&
            verifier.VerifyVector(quarantined()) &&
            verifier.VerifyVectorOfTables(quarantined()) &&
+           VerifyField<uint64_t>(verifier, VT_STORE_ERA, 8) &&
+           VerifyField<int64_t>(verifier, VT_SENT_MS, 8) &&
+           VerifyOffset(verifier, VT_CATALOG_SOURCE) &&
+           verifier.VerifyString(catalog_source()) &&
            verifier.EndTable();
   }
   FleetStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5701,6 +5923,15 @@
   void add_quarantined(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>>> quarantined) {
     fbb_.AddOffset(FleetState::VT_QUARANTINED, quarantined);
   }
+  void add_store_era(uint64_t store_era) {
+    fbb_.AddElement<uint64_t>(FleetState::VT_STORE_ERA, store_era, 0);
+  }
+  void add_sent_ms(int64_t sent_ms) {
+    fbb_.AddElement<int64_t>(FleetState::VT_SENT_MS, sent_ms, 0);
+  }
+  void add_catalog_source(flatbuffers::Offset<flatbuffers::String> catalog_source) {
+    fbb_.AddOffset(FleetState::VT_CATALOG_SOURCE, catalog_source);
+  }
   explicit FleetStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5728,9 +5959,15 @@
     bool whole_servers = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> removed_members = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> catalog = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>>> quarantined = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>>> quarantined = 0,
+    uint64_t store_era = 0,
+    int64_t sent_ms = 0,
+    flatbuffers::Offset<flatbuffers::String> catalog_source = 0) {
   FleetStateBuilder builder_(_fbb);
+  builder_.add_sent_ms(sent_ms);
+  builder_.add_store_era(store_era);
   builder_.add_catalog_version(catalog_version);
+  builder_.add_catalog_source(catalog_source);
   builder_.add_quarantined(quarantined);
   builder_.add_catalog(catalog);
   builder_.add_removed_members(removed_members);
@@ -5767,7 +6004,10 @@
     bool whole_servers = false,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *removed_members = nullptr,
     const std::vector<uint8_t> *catalog = nullptr,
-    const std::vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>> *quarantined = nullptr) {
+    const std::vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>> *quarantined = nullptr,
+    uint64_t store_era = 0,
+    int64_t sent_ms = 0,
+    const char *catalog_source = nullptr) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::FleetMember>>(*members) : 0;
   auto balances__ = balances ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::AccountTokens>>(*balances) : 0;
   auto backend_servers__ = backend_servers ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::BackendEntry>>(*backend_servers) : 0;
@@ -5775,6 +6015,7 @@
   auto removed_members__ = removed_members ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*removed_members) : 0;
   auto catalog__ = catalog ? _fbb.CreateVector<uint8_t>(*catalog) : 0;
   auto quarantined__ = quarantined ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>>(*quarantined) : 0;
+  auto catalog_source__ = catalog_source ? _fbb.CreateString(catalog_source) : 0;
   return marigoldquay::protocol::CreateFleetState(
       _fbb,
       coordinator,
@@ -5790,7 +6031,10 @@
       whole_servers,
       removed_members__,
       catalog__,
-      quarantined__);
+      quarantined__,
+      store_era,
+      sent_ms,
+      catalog_source__);
 }
 
 flatbuffers::Offset<FleetState> CreateFleetState(flatbuffers::FlatBufferBuilder &_fbb, const FleetStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6068,6 +6312,7 @@
   uint32_t retry_after_ms = 0;
   std::string reason{};
   bool provisional = false;
+  int64_t sent_ms = 0;
 };
 
 struct PlaceStreamReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -6085,7 +6330,8 @@
     VT_EXPECTED_MS = 12,
     VT_RETRY_AFTER_MS = 14,
     VT_REASON = 16,
-    VT_PROVISIONAL = 18
+    VT_PROVISIONAL = 18,
+    VT_SENT_MS = 20
   };
   marigoldquay::protocol::PlaceStreamStatus status() const {
     return static_cast<marigoldquay::protocol::PlaceStreamStatus>(GetField<uint8_t>(VT_STATUS, 0));
@@ -6111,6 +6357,9 @@
   bool provisional() const {
     return GetField<uint8_t>(VT_PROVISIONAL, 0) != 0;
   }
+  int64_t sent_ms() const {
+    return GetField<int64_t>(VT_SENT_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_STATUS, 1) &&
@@ -6124,6 +6373,7 @@
            VerifyOffset(verifier, VT_REASON) &&
            verifier.VerifyString(reason()) &&
            VerifyField<uint8_t>(verifier, VT_PROVISIONAL, 1) &&
+           VerifyField<int64_t>(verifier, VT_SENT_MS, 8) &&
            verifier.EndTable();
   }
   PlaceStreamReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -6159,6 +6409,9 @@
   void add_provisional(bool provisional) {
     fbb_.AddElement<uint8_t>(PlaceStreamReply::VT_PROVISIONAL, static_cast<uint8_t>(provisional), 0);
   }
+  void add_sent_ms(int64_t sent_ms) {
+    fbb_.AddElement<int64_t>(PlaceStreamReply::VT_SENT_MS, sent_ms, 0);
+  }
   explicit PlaceStreamReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -6179,8 +6432,10 @@
     uint32_t expected_ms = 0,
     uint32_t retry_after_ms = 0,
     flatbuffers::Offset<flatbuffers::String> reason = 0,
-    bool provisional = false) {
+    bool provisional = false,
+    int64_t sent_ms = 0) {
   PlaceStreamReplyBuilder builder_(_fbb);
+  builder_.add_sent_ms(sent_ms);
   builder_.add_ticket(ticket);
   builder_.add_reason(reason);
   builder_.add_retry_after_ms(retry_after_ms);
@@ -6206,7 +6461,8 @@
     uint32_t expected_ms = 0,
     uint32_t retry_after_ms = 0,
     const char *reason = nullptr,
-    bool provisional = false) {
+    bool provisional = false,
+    int64_t sent_ms = 0) {
   auto prefill_server__ = prefill_server ? _fbb.CreateString(prefill_server) : 0;
   auto decode_server__ = decode_server ? _fbb.CreateString(decode_server) : 0;
   auto reason__ = reason ? _fbb.CreateString(reason) : 0;
@@ -6219,7 +6475,8 @@
       expected_ms,
       retry_after_ms,
       reason__,
-      provisional);
+      provisional,
+      sent_ms);
 }
 
 flatbuffers::Offset<PlaceStreamReply> CreatePlaceStreamReply(flatbuffers::FlatBufferBuilder &_fbb, const PlaceStreamReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -8498,7 +8755,12 @@
       (lhs.needs_servers == rhs.needs_servers) &&
       (lhs.request_limits.size() == rhs.request_limits.size() && std::equal(lhs.request_limits.cbegin(), lhs.request_limits.cend(), rhs.request_limits.cbegin(), [](std::unique_ptr<marigoldquay::protocol::RequestLimitT> const &a, std::unique_ptr<marigoldquay::protocol::RequestLimitT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
       (lhs.crashes.size() == rhs.crashes.size() && std::equal(lhs.crashes.cbegin(), lhs.crashes.cend(), rhs.crashes.cbegin(), [](std::unique_ptr<marigoldquay::protocol::EngineCrashT> const &a, std::unique_ptr<marigoldquay::protocol::EngineCrashT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
-      (lhs.quarantined.size() == rhs.quarantined.size() && std::equal(lhs.quarantined.cbegin(), lhs.quarantined.cend(), rhs.quarantined.cbegin(), [](std::unique_ptr<marigoldquay::protocol::QuarantinedPromptT> const &a, std::unique_ptr<marigoldquay::protocol::QuarantinedPromptT> const &b) { return (a == b) || (a && b && *a == *b); }));
+      (lhs.quarantined.size() == rhs.quarantined.size() && std::equal(lhs.quarantined.cbegin(), lhs.quarantined.cend(), rhs.quarantined.cbegin(), [](std::unique_ptr<marigoldquay::protocol::QuarantinedPromptT> const &a, std::unique_ptr<marigoldquay::protocol::QuarantinedPromptT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
+      (lhs.store_era == rhs.store_era) &&
+      (lhs.state_sent_ms == rhs.state_sent_ms) &&
+      (lhs.state_held_ms == rhs.state_held_ms) &&
+      (lhs.catalog == rhs.catalog) &&
+      (lhs.departures.size() == rhs.departures.size() && std::equal(lhs.departures.cbegin(), lhs.departures.cend(), rhs.departures.cbegin(), [](std::unique_ptr<marigoldquay::protocol::ServerDepartureT> const &a, std::unique_ptr<marigoldquay::protocol::ServerDepartureT> const &b) { return (a == b) || (a && b && *a == *b); }));
 }
 
 inline bool operator!=(const FleetReportT &lhs, const FleetReportT &rhs) {
@@ -8512,7 +8774,11 @@
         store_age_ms(o.store_age_ms),
         leaving_servers(o.leaving_servers),
         catalog_version(o.catalog_version),
-        needs_servers(o.needs_servers) {
+        needs_servers(o.needs_servers),
+        store_era(o.store_era),
+        state_sent_ms(o.state_sent_ms),
+        state_held_ms(o.state_held_ms),
+        catalog(o.catalog) {
   spent.reserve(o.spent.size());
   for (const auto &spent_ : o.spent) { spent.emplace_back((spent_) ? new marigoldquay::protocol::AccountTokensT(*spent_) : nullptr); }
   levels.reserve(o.levels.size());
@@ -8523,6 +8789,8 @@
   for (const auto &crashes_ : o.crashes) { crashes.emplace_back((crashes_) ? new marigoldquay::protocol::EngineCrashT(*crashes_) : nullptr); }
   quarantined.reserve(o.quarantined.size());
   for (const auto &quarantined_ : o.quarantined) { quarantined.emplace_back((quarantined_) ? new marigoldquay::protocol::QuarantinedPromptT(*quarantined_) : nullptr); }
+  departures.reserve(o.departures.size());
+  for (const auto &departures_ : o.departures) { departures.emplace_back((departures_) ? new marigoldquay::protocol::ServerDepartureT(*departures_) : nullptr); }
 }
 
 inline FleetReportT &FleetReportT::operator=(FleetReportT o) FLATBUFFERS_NOEXCEPT {
@@ -8537,6 +8805,11 @@
   std::swap(request_limits, o.request_limits);
   std::swap(crashes, o.crashes);
   std::swap(quarantined, o.quarantined);
+  std::swap(store_era, o.store_era);
+  std::swap(state_sent_ms, o.state_sent_ms);
+  std::swap(state_held_ms, o.state_held_ms);
+  std::swap(catalog, o.catalog);
+  std::swap(departures, o.departures);
   return *this;
 }
 
@@ -8560,6 +8833,11 @@
   { auto _e = request_limits(); if (_e) { _o->request_limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->request_limits[_i] = std::unique_ptr<marigoldquay::protocol::RequestLimitT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = std::unique_ptr<marigoldquay::protocol::EngineCrashT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = quarantined(); if (_e) { _o->quarantined.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->quarantined[_i] = std::unique_ptr<marigoldquay::protocol::QuarantinedPromptT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = store_era(); _o->store_era = _e; }
+  { auto _e = state_sent_ms(); _o->state_sent_ms = _e; }
+  { auto _e = state_held_ms(); _o->state_held_ms = _e; }
+  { auto _e = catalog(); if (_e) { _o->catalog.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->catalog.begin()); } }
+  { auto _e = departures(); if (_e) { _o->departures.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->departures[_i] = std::unique_ptr<marigoldquay::protocol::ServerDepartureT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<FleetReport> FleetReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8581,6 +8859,11 @@
   auto _request_limits = _o->request_limits.size() ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::RequestLimit>> (_o->request_limits.size(), [](size_t i, _VectorArgs *__va) { return CreateRequestLimit(*__va->__fbb, __va->__o->request_limits[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _crashes = _o->crashes.size() ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::EngineCrash>> (_o->crashes.size(), [](size_t i, _VectorArgs *__va) { return CreateEngineCrash(*__va->__fbb, __va->__o->crashes[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _quarantined = _o->quarantined.size() ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>> (_o->quarantined.size(), [](size_t i, _VectorArgs *__va) { return CreateQuarantinedPrompt(*__va->__fbb, __va->__o->quarantined[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _store_era = _o->store_era;
+  auto _state_sent_ms = _o->state_sent_ms;
+  auto _state_held_ms = _o->state_held_ms;
+  auto _catalog = _o->catalog.size() ? _fbb.CreateVector(_o->catalog) : 0;
+  auto _departures = _o->departures.size() ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::ServerDeparture>> (_o->departures.size(), [](size_t i, _VectorArgs *__va) { return CreateServerDeparture(*__va->__fbb, __va->__o->departures[i].get(), __va->__rehasher); }, &_va ) : 0;
   return marigoldquay::protocol::CreateFleetReport(
       _fbb,
       _sender,
@@ -8593,7 +8876,61 @@
       _needs_servers,
       _request_limits,
       _crashes,
-      _quarantined);
+      _quarantined,
+      _store_era,
+      _state_sent_ms,
+      _state_held_ms,
+      _catalog,
+      _departures);
+}
+
+
+inline bool operator==(const ServerDepartureT &lhs, const ServerDepartureT &rhs) {
+  return
+      (lhs.server == rhs.server) &&
+      (lhs.started_unix_ms == rhs.started_unix_ms) &&
+      (lhs.sequence == rhs.sequence) &&
+      (lhs.removed == rhs.removed);
+}
+
+inline bool operator!=(const ServerDepartureT &lhs, const ServerDepartureT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline ServerDepartureT *ServerDeparture::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ServerDepartureT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ServerDeparture::UnPackTo(ServerDepartureT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = server(); if (_e) _o->server = _e->str(); }
+  { auto _e = started_unix_ms(); _o->started_unix_ms = _e; }
+  { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = removed(); _o->removed = _e; }
+}
+
+inline flatbuffers::Offset<ServerDeparture> ServerDeparture::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServerDepartureT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateServerDeparture(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ServerDeparture> CreateServerDeparture(flatbuffers::FlatBufferBuilder &_fbb, const ServerDepartureT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ServerDepartureT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _server = _fbb.CreateString(_o->server);
+  auto _started_unix_ms = _o->started_unix_ms;
+  auto _sequence = _o->sequence;
+  auto _removed = _o->removed;
+  return marigoldquay::protocol::CreateServerDeparture(
+      _fbb,
+      _server,
+      _started_unix_ms,
+      _sequence,
+      _removed);
 }
 
 
@@ -8607,7 +8944,8 @@
       (lhs.draining == rhs.draining) &&
       (lhs.role == rhs.role) &&
       (lhs.started_unix_ms == rhs.started_unix_ms) &&
-      ((lhs.request_limit == rhs.request_limit) || (lhs.request_limit && rhs.request_limit && *lhs.request_limit == *rhs.request_limit));
+      ((lhs.request_limit == rhs.request_limit) || (lhs.request_limit && rhs.request_limit && *lhs.request_limit == *rhs.request_limit)) &&
+      (lhs.sequence == rhs.sequence);
 }
 
 inline bool operator!=(const BackendEntryT &lhs, const BackendEntryT &rhs) {
@@ -8624,7 +8962,8 @@
         draining(o.draining),
         role(o.role),
         started_unix_ms(o.started_unix_ms),
-        request_limit((o.request_limit) ? new marigoldquay::protocol::RequestLimitT(*o.request_limit) : nullptr) {
+        request_limit((o.request_limit) ? new marigoldquay::protocol::RequestLimitT(*o.request_limit) : nullptr),
+        sequence(o.sequence) {
 }
 
 inline BackendEntryT &BackendEntryT::operator=(BackendEntryT o) FLATBUFFERS_NOEXCEPT {
@@ -8637,6 +8976,7 @@
   std::swap(role, o.role);
   std::swap(started_unix_ms, o.started_unix_ms);
   std::swap(request_limit, o.request_limit);
+  std::swap(sequence, o.sequence);
   return *this;
 }
 
@@ -8658,6 +8998,7 @@
   { auto _e = role(); _o->role = _e; }
   { auto _e = started_unix_ms(); _o->started_unix_ms = _e; }
   { auto _e = request_limit(); if (_e) _o->request_limit = std::unique_ptr<marigoldquay::protocol::RequestLimitT>(_e->UnPack(_resolver)); }
+  { auto _e = sequence(); _o->sequence = _e; }
 }
 
 inline flatbuffers::Offset<BackendEntry> BackendEntry::Pack(flatbuffers::FlatBufferBuilder &_fbb, const BackendEntryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8677,6 +9018,7 @@
   auto _role = _o->role;
   auto _started_unix_ms = _o->started_unix_ms;
   auto _request_limit = _o->request_limit ? CreateRequestLimit(_fbb, _o->request_limit.get(), _rehasher) : 0;
+  auto _sequence = _o->sequence;
   return marigoldquay::protocol::CreateBackendEntry(
       _fbb,
       _id,
@@ -8687,7 +9029,8 @@
       _draining,
       _role,
       _started_unix_ms,
-      _request_limit);
+      _request_limit,
+      _sequence);
 }
 
 
@@ -8706,7 +9049,10 @@
       (lhs.whole_servers == rhs.whole_servers) &&
       (lhs.removed_members == rhs.removed_members) &&
       (lhs.catalog == rhs.catalog) &&
-      (lhs.quarantined.size() == rhs.quarantined.size() && std::equal(lhs.quarantined.cbegin(), lhs.quarantined.cend(), rhs.quarantined.cbegin(), [](std::unique_ptr<marigoldquay::protocol::QuarantinedPromptT> const &a, std::unique_ptr<marigoldquay::protocol::QuarantinedPromptT> const &b) { return (a == b) || (a && b && *a == *b); }));
+      (lhs.quarantined.size() == rhs.quarantined.size() && std::equal(lhs.quarantined.cbegin(), lhs.quarantined.cend(), rhs.quarantined.cbegin(), [](std::unique_ptr<marigoldquay::protocol::QuarantinedPromptT> const &a, std::unique_ptr<marigoldquay::protocol::QuarantinedPromptT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
+      (lhs.store_era == rhs.store_era) &&
+      (lhs.sent_ms == rhs.sent_ms) &&
+      (lhs.catalog_source == rhs.catalog_source);
 }
 
 inline bool operator!=(const FleetStateT &lhs, const FleetStateT &rhs) {
@@ -8724,7 +9070,10 @@
         removed_servers(o.removed_servers),
         whole_servers(o.whole_servers),
         removed_members(o.removed_members),
-        catalog(o.catalog) {
+        catalog(o.catalog),
+        store_era(o.store_era),
+        sent_ms(o.sent_ms),
+        catalog_source(o.catalog_source) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new marigoldquay::protocol::FleetMemberT(*members_) : nullptr); }
   balances.reserve(o.balances.size());
@@ -8750,6 +9099,9 @@
   std::swap(removed_members, o.removed_members);
   std::swap(catalog, o.catalog);
   std::swap(quarantined, o.quarantined);
+  std::swap(store_era, o.store_era);
+  std::swap(sent_ms, o.sent_ms);
+  std::swap(catalog_source, o.catalog_source);
   return *this;
 }
 
@@ -8776,6 +9128,9 @@
   { auto _e = removed_members(); if (_e) { _o->removed_members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->removed_members[_i] = _e->Get(_i)->str(); } } }
   { auto _e = catalog(); if (_e) { _o->catalog.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->catalog.begin()); } }
   { auto _e = quarantined(); if (_e) { _o->quarantined.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->quarantined[_i] = std::unique_ptr<marigoldquay::protocol::QuarantinedPromptT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = store_era(); _o->store_era = _e; }
+  { auto _e = sent_ms(); _o->sent_ms = _e; }
+  { auto _e = catalog_source(); if (_e) _o->catalog_source = _e->str(); }
 }
 
 inline flatbuffers::Offset<FleetState> FleetState::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FleetStateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8800,6 +9155,9 @@
   auto _removed_members = _o->removed_members.size() ? _fbb.CreateVectorOfStrings(_o->removed_members) : 0;
   auto _catalog = _o->catalog.size() ? _fbb.CreateVector(_o->catalog) : 0;
   auto _quarantined = _o->quarantined.size() ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>> (_o->quarantined.size(), [](size_t i, _VectorArgs *__va) { return CreateQuarantinedPrompt(*__va->__fbb, __va->__o->quarantined[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _store_era = _o->store_era;
+  auto _sent_ms = _o->sent_ms;
+  auto _catalog_source = _o->catalog_source.empty() ? 0 : _fbb.CreateString(_o->catalog_source);
   return marigoldquay::protocol::CreateFleetState(
       _fbb,
       _coordinator,
@@ -8815,7 +9173,10 @@
       _whole_servers,
       _removed_members,
       _catalog,
-      _quarantined);
+      _quarantined,
+      _store_era,
+      _sent_ms,
+      _catalog_source);
 }
 
 
@@ -8917,7 +9278,8 @@
       (lhs.expected_ms == rhs.expected_ms) &&
       (lhs.retry_after_ms == rhs.retry_after_ms) &&
       (lhs.reason == rhs.reason) &&
-      (lhs.provisional == rhs.provisional);
+      (lhs.provisional == rhs.provisional) &&
+      (lhs.sent_ms == rhs.sent_ms);
 }
 
 inline bool operator!=(const PlaceStreamReplyT &lhs, const PlaceStreamReplyT &rhs) {
@@ -8942,6 +9304,7 @@
   { auto _e = retry_after_ms(); _o->retry_after_ms = _e; }
   { auto _e = reason(); if (_e) _o->reason = _e->str(); }
   { auto _e = provisional(); _o->provisional = _e; }
+  { auto _e = sent_ms(); _o->sent_ms = _e; }
 }
 
 inline flatbuffers::Offset<PlaceStreamReply> PlaceStreamReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceStreamReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8960,6 +9323,7 @@
   auto _retry_after_ms = _o->retry_after_ms;
   auto _reason = _o->reason.empty() ? 0 : _fbb.CreateString(_o->reason);
   auto _provisional = _o->provisional;
+  auto _sent_ms = _o->sent_ms;
   return marigoldquay::protocol::CreatePlaceStreamReply(
       _fbb,
       _status,
@@ -8969,7 +9333,8 @@
       _expected_ms,
       _retry_after_ms,
       _reason,
-      _provisional);
+      _provisional,
+      _sent_ms);
 }
 
 
--- a/packages/routing/include/marigoldquay/routing/replica_table.h
+++ b/packages/routing/include/marigoldquay/routing/replica_table.h
@@ -54,12 +54,26 @@
   std::optional<EngineRole> role;
   /// Start time of the process; distinguishes instances with the same id.
   std::int64_t started_unix_ms = 0;
+  /// Number of the entry among those that the instance has written, from 1 on; 0 when unknown.
+  std::int64_t sequence = 0;
   /// Not part of the platform's list.
   RequestLimit request_limit;
 
   bool operator==(const Replica&) const = default;
 };
 
+/// What a VM knows of an instance that gets no new requests any more.
+struct ServerDeparture {
+  BackendServerId server;
+  std::int64_t started_unix_ms = 0;
+  /// The last entry that the VM knows of.
+  std::int64_t sequence = 0;
+  /// Whether its entry was removed; it is draining otherwise.
+  bool removed = false;
+
+  bool operator==(const ServerDeparture&) const = default;
+};
+
 /// Difference between two versions of a ReplicaTable.
 struct ReplicaChanges {
   std::vector<Replica> updated;
@@ -72,11 +86,18 @@
 /// not selected for new requests. Not thread-safe.
 class ReplicaTable {
  public:
-  /// Inserts or updates an entry; returns whether the table changed. An instance that was marked as
-  /// draining stays draining, even when an outdated source reports otherwise, and keeps the latest
-  /// request limit that it stated, also when its entry was missing in the meantime. An entry whose
-  /// address belongs to a later instance is ignored.
-  bool Upsert(Replica replica);
+  /// Inserts or updates an entry; returns whether more than its sequence number changed. An
+  /// instance that was marked as draining stays draining, even when an outdated source reports
+  /// otherwise, and keeps the latest request limit that it stated, also when its entry was missing
+  /// in the meantime. Ignored are entries that precede the known one, and those whose address
+  /// belongs to a later instance. `may_be_outdated` tells that the source may still list instances
+  /// that have left; it has to be ahead of a removed entry, not just equal to it.
+  bool Upsert(Replica replica, bool may_be_outdated = false);
+  /// Applies what another VM knows, unless this table holds a later entry of the server; returns
+  /// whether the table changed.
+  bool Apply(const ServerDeparture& departure);
+  /// Draining instances, and those that were removed lately; at most kMaxDepartures of the latter.
+  std::vector<ServerDeparture> departures() const;
   /// Marks a replica that announced its own shutdown; returns whether the table changed.
   bool MarkDraining(absl::string_view id);
   /// Records a limit unless a later one of the instance is known; returns whether an entry changed.
@@ -101,12 +122,17 @@
   ReplicaChanges ChangesSince(std::uint64_t version) const;
   std::size_t size() const { return replicas_.size(); }
 
+  static constexpr std::size_t kMaxDepartures = 128;
+
  private:
   struct Removal {
     std::uint64_t version = 0;
     BackendServerId id;
   };
 
+  // Whether the entry says less than what is known of the server already.
+  bool IsOutdated(const Replica& replica, bool may_be_outdated) const;
+  void RecordRemoval(const Replica& replica);
   // Records the limit; returns the latest one of the instance.
   RequestLimit UpdateStatedLimit(const StatedRequestLimit& stated);
   void Erase(std::map<BackendServerId, Replica, std::less<>>::iterator entry);
@@ -118,6 +144,9 @@
   std::map<BackendServerId, std::uint64_t, std::less<>> version_by_id_;
   // The most recent removals, oldest first.
   std::deque<Removal> recent_removals_;
+  // Servers whose entry was removed and that are not listed again, oldest first; at most
+  // kMaxDepartures.
+  std::deque<ServerDeparture> removed_servers_;
   // Also of replicas without an entry; at most kMaxStatedLimits.
   std::map<BackendServerId, StatedRequestLimit, std::less<>> stated_limits_;
   std::uint64_t version_ = 0;
--- a/packages/routing/src/replica_table.cc
+++ b/packages/routing/src/replica_table.cc
@@ -18,9 +18,68 @@
   return stated.per_second != known.per_second && stated.stated_at > known.stated_at;
 }
 
+// Whether the entries of two instances, or of one, can be put in order.
+bool AreComparable(std::int64_t first, std::int64_t second) { return first > 0 && second > 0; }
+
 }  // namespace
 
-bool ReplicaTable::Upsert(Replica replica) {
+bool ReplicaTable::IsOutdated(const Replica& replica, bool may_be_outdated) const {
+  const auto found = replicas_.find(replica.id);
+  if (found != replicas_.end()) {
+    const Replica& known = found->second;
+    if (!AreComparable(replica.started_unix_ms, known.started_unix_ms)) return false;
+    if (replica.started_unix_ms != known.started_unix_ms) {
+      return replica.started_unix_ms < known.started_unix_ms;
+    }
+    return AreComparable(replica.sequence, known.sequence) && replica.sequence < known.sequence;
+  }
+  return std::any_of(
+      removed_servers_.begin(), removed_servers_.end(), [&](const ServerDeparture& removed) {
+        if (removed.server != replica.id) return false;
+        if (!AreComparable(replica.started_unix_ms, removed.started_unix_ms)) {
+          return may_be_outdated && replica.sequence <= removed.sequence;
+        }
+        if (replica.started_unix_ms != removed.started_unix_ms) {
+          return may_be_outdated && replica.started_unix_ms < removed.started_unix_ms;
+        }
+        return replica.sequence < removed.sequence ||
+               (may_be_outdated && replica.sequence == removed.sequence);
+      });
+}
+
+void ReplicaTable::RecordRemoval(const Replica& replica) {
+  removed_servers_.push_back({replica.id, replica.started_unix_ms, replica.sequence, true});
+  if (removed_servers_.size() > kMaxDepartures) removed_servers_.pop_front();
+}
+
+bool ReplicaTable::Apply(const ServerDeparture& departure) {
+  const auto found = replicas_.find(departure.server);
+  if (found == replicas_.end()) {
+    Replica replica;
+    replica.id = departure.server;
+    replica.started_unix_ms = departure.started_unix_ms;
+    replica.sequence = departure.sequence;
+    if (departure.removed && !IsOutdated(replica, true)) RecordRemoval(replica);
+    return false;
+  }
+  const Replica& known = found->second;
+  if (known.started_unix_ms != departure.started_unix_ms) return false;
+  if (!departure.removed) return MarkDraining(departure.server);
+  if (!AreComparable(known.sequence, departure.sequence)) return false;
+  return known.sequence <= departure.sequence && Remove(departure.server);
+}
+
+std::vector<ServerDeparture> ReplicaTable::departures() const {
+  std::vector<ServerDeparture> departures(removed_servers_.begin(), removed_servers_.end());
+  for (const auto& [id, replica] : replicas_) {
+    if (!replica.draining) continue;
+    departures.push_back({id, replica.started_unix_ms, replica.sequence, false});
+  }
+  return departures;
+}
+
+bool ReplicaTable::Upsert(Replica replica, bool may_be_outdated) {
+  if (IsOutdated(replica, may_be_outdated)) return false;
   // The latest instance owns the address. The entry of an earlier instance may not have expired
   // yet.
   const auto owner = id_by_address_.find(replica.address);
@@ -38,10 +97,14 @@
   replica.request_limit =
       UpdateStatedLimit({replica.id, replica.started_unix_ms, replica.request_limit});
   if (found != replicas_.end()) {
-    const Replica& current = found->second;
+    Replica& current = found->second;
+    // Each heartbeat has a number of its own, which is no change.
+    current.sequence = replica.sequence;
     if (current == replica) return false;
     if (current.address != replica.address) id_by_address_.erase(current.address);
   }
+  std::erase_if(removed_servers_,
+                [&](const auto& removed) { return removed.server == replica.id; });
   id_by_address_[replica.address] = replica.id;
   version_by_id_[replica.id] = ++version_;
   replicas_.insert_or_assign(replica.id, replica);
@@ -114,6 +177,7 @@
 bool ReplicaTable::Remove(absl::string_view id) {
   const auto found = replicas_.find(id);
   if (found == replicas_.end()) return false;
+  RecordRemoval(found->second);
   Erase(found);
   return true;
 }
--- a/packages/routing/tests/cluster_view_test.cc
+++ b/packages/routing/tests/cluster_view_test.cc
@@ -56,6 +56,95 @@
   BOOST_TEST(table.FindReady("s").empty());
 }
 
+Replica MakeEntry(std::int64_t started, std::int64_t sequence, bool draining = false) {
+  Replica replica = MakeReplica("a", draining);
+  replica.started_unix_ms = started;
+  replica.sequence = sequence;
+  return replica;
+}
+
+// Guards against heartbeats that count as changes and are sent to all VMs.
+BOOST_AUTO_TEST_CASE(heartbeat_is_no_change) {
+  ReplicaTable table;
+  BOOST_TEST(table.Upsert(MakeEntry(10, 1)));
+  const auto version = table.version();
+  BOOST_TEST(!table.Upsert(MakeEntry(10, 2)));
+  BOOST_TEST(table.version() == version);
+  BOOST_TEST(table.Find("a")->sequence == 2);
+}
+
+// Guards against an older entry, from a store that has come back from a copy or from a VM that has
+// read it there, which replaces a newer one.
+BOOST_AUTO_TEST_CASE(older_entry_is_ignored) {
+  ReplicaTable table;
+  table.Upsert(MakeEntry(20, 5, true));
+  for (const auto& older : {MakeEntry(20, 4), MakeEntry(10, 90)}) {
+    BOOST_TEST(!table.Upsert(older));
+    BOOST_TEST(table.FindReady("s").empty());
+  }
+  BOOST_TEST(table.Upsert(MakeEntry(30, 1)));
+  BOOST_TEST(table.FindReady("s").size() == 1);
+}
+
+// Guards against a server that has left and is used again because a copy lists it, and against a
+// server that has come back and stays unused.
+BOOST_AUTO_TEST_CASE(removed_server_returns_only_with_a_newer_entry) {
+  ReplicaTable table;
+  table.Upsert(MakeEntry(20, 5));
+  table.Remove("a");
+  BOOST_TEST(!table.Upsert(MakeEntry(20, 4)));
+  BOOST_TEST(!table.Upsert(MakeEntry(20, 5), true));
+  BOOST_TEST(!table.Upsert(MakeEntry(10, 9), true));
+  for (const auto& newer : {MakeEntry(20, 6), MakeEntry(30, 1)}) {
+    ReplicaTable later = table;
+    BOOST_TEST(later.Upsert(newer, true));
+    BOOST_TEST(later.departures().empty());
+  }
+  BOOST_TEST(table.Upsert(MakeEntry(20, 5)));
+}
+
+// Guards against a restart that is ignored because its server names no time of start.
+BOOST_AUTO_TEST_CASE(entries_without_a_start_are_not_put_in_order) {
+  ReplicaTable table;
+  table.Upsert(MakeEntry(0, 50, true));
+  table.Remove("a");
+  BOOST_TEST(table.Upsert(MakeEntry(0, 1)));
+}
+
+// Guards against a VM that starts after the return of the store, knows only the copy, and does not
+// learn from the others which servers have left.
+BOOST_AUTO_TEST_CASE(departures_of_another_vm_are_applied_unless_outdated) {
+  ReplicaTable known;
+  known.Upsert(MakeEntry(20, 5));
+  known.Remove("a");
+  BOOST_TEST_REQUIRE(known.departures().size() == 1U);
+  const ServerDeparture removed = known.departures().front();
+  ReplicaTable fresh;
+  BOOST_TEST(!fresh.Apply(removed));
+  BOOST_TEST(!fresh.Upsert(MakeEntry(20, 3), true));
+  ReplicaTable reader;
+  reader.Upsert(MakeEntry(20, 3));
+  BOOST_TEST(reader.Apply(removed));
+  BOOST_TEST(reader.Find("a") == nullptr);
+  ReplicaTable newer;
+  newer.Upsert(MakeEntry(20, 6));
+  BOOST_TEST(!newer.Apply(removed));
+  BOOST_TEST(newer.FindReady("s").size() == 1);
+  BOOST_TEST(newer.Apply(ServerDeparture{"a", 20, 4, false}));
+  BOOST_TEST(newer.FindReady("s").empty());
+}
+
+// Guards against departures that grow without bound.
+BOOST_AUTO_TEST_CASE(departures_are_bounded) {
+  ReplicaTable table;
+  for (std::size_t i = 0; i < 10 * ReplicaTable::kMaxDepartures; ++i) {
+    const std::string id = std::to_string(i);
+    table.Upsert(MakeReplica(id, false));
+    table.Remove(id);
+  }
+  BOOST_TEST(table.departures().size() == ReplicaTable::kMaxDepartures);
+}
+
 // Guards against an outdated source that makes a draining server ready again. A coordinator that
 // has just taken over may not know yet what this VM has learnt.
 BOOST_AUTO_TEST_CASE(draining_instance_stays_draining) {
--- a/tests/platform/fake_replica.cc
+++ b/tests/platform/fake_replica.cc
@@ -57,13 +57,14 @@
   SpawnFiber(io_, "restart replica", [this](Yield yield) {
     SleepFor(io_, options_.down_time, yield);
     ++starts_;
+    sequence_ = 0;
     const auto started = listener_.Start(address_);
     if (!started) ledger_.violations.push_back(started.error().ToString());
     options_.on_restart();
   });
 }
 
-std::string FakeReplica::Entry(const std::string& state, const Address& address) const {
+std::string FakeReplica::Entry(const std::string& state, const Address& address) {
   boost::json::object entry{{"service", options_.service},
                             {"address", address},
                             {"zone", options_.availability_zone},
@@ -71,7 +72,7 @@
                             {"slots", 8},
                             {"state", state},
                             {"coldLeftMs", 0},
-                            {"sequence", 1},
+                            {"sequence", ++sequence_},
                             {"born", starts_}};
   if (!phase_.empty()) entry["phase"] = phase_;
   return boost::json::serialize(entry);
@@ -115,8 +116,8 @@
 void FakeReplica::ChangePhase(const HttpRequest& request, HttpReplyWriter& reply, Yield yield) {
   const auto body = boost::json::parse(request.body()).as_object();
   ReplicaOrder order{options_.id, body.at("phase").as_string().c_str(),
-                     body.at("holder").as_string().c_str(), body.at("fence").to_number<int>(),
-                     absl::Now()};
+                     body.at("holder").as_string().c_str(),
+                     body.at("fence").to_number<std::int64_t>(), absl::Now()};
   ledger_.orders.push_back(order);
   if (order.claim < highest_claim_) return (void)reply.SendReply(412, HttpFields(), "{}", yield);
   highest_claim_ = order.claim;
--- a/tests/platform/fake_replica.h
+++ b/tests/platform/fake_replica.h
@@ -130,8 +130,8 @@
 
   const ReplicaOptions& options() const { return options_; }
   const Address& address() const { return address_; }
-  /// Its entry in the store, where `address` may be that of a proxy.
-  std::string Entry(const std::string& state, const Address& address) const;
+  /// Its next entry in the store, where `address` may be that of a proxy.
+  std::string Entry(const std::string& state, const Address& address);
   /// Refuses connections from now on.
   void Stop() { listener_.StopAccepting(); }
 
@@ -157,6 +157,8 @@
   HttpListener listener_;
   Address address_;
   int starts_ = 1;
+  // Entries since the last start.
+  int sequence_ = 0;
   // Responses that are being written.
   std::set<HttpReplyWriter*> replies_;
   int next_cache_ = 1;
--- a/tests/platform/fake_store.cc
+++ b/tests/platform/fake_store.cc
@@ -1,6 +1,7 @@
 // Stand-in of the platform's store.
 #include "fake_store.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <utility>
 
@@ -38,14 +39,16 @@
   return absl::SimpleAtoi(text, &value) ? value : 0;
 }
 
-void Send(HttpReplyWriter& reply, unsigned status, std::string body, Yield yield) {
-  (void)reply.SendReply(status, HttpFields(), std::move(body), yield);
-}
-
 }  // namespace
 
+void FakeStore::Send(HttpReplyWriter& reply, unsigned status, std::string body, Yield yield) const {
+  HttpFields fields;
+  fields.set("Store-Era", absl::StrCat(era_));
+  (void)reply.SendReply(status, fields, std::move(body), yield);
+}
+
 void FakeStore::Put(const std::string& topic, const std::string& key, const std::string& value) {
-  topics_[topic].records.push_back({key, value});
+  topics_[topic].records.push_back({key, value, absl::Now()});
   changed_.cancel();
 }
 
@@ -53,6 +56,16 @@
   for (auto& [name, topic] : topics_) topic.first = topic.records.size();
 }
 
+void FakeStore::Restore(absl::Time copied_at) {
+  for (auto& [name, topic] : topics_) {
+    std::erase_if(topic.records, [&](const Record& r) { return r.written_at > copied_at; });
+    topic.first = std::min(topic.first, topic.records.size());
+  }
+  std::erase_if(members_, [&](const auto& entry) { return entry.second.joined_at > copied_at; });
+  ++era_;
+  changed_.cancel();
+}
+
 std::string FakeStore::Newest(const std::string& topic) {
   std::map<std::string, std::pair<std::string, std::size_t>> newest;
   const auto& records = topics_[topic].records;
@@ -69,11 +82,11 @@
 
 std::string FakeStore::Owners() {
   const absl::Time now = absl::Now();
-  std::erase_if(members_, [&](const auto& member) { return member.second < now; });
+  std::erase_if(members_, [&](const auto& member) { return member.second.lapses_at < now; });
   boost::json::array rows;
   int part = 0;
-  for (const auto& [member, until] : members_) {
-    rows.push_back(boost::json::array{"marigoldquay-presence-0", part++, member, 0});
+  for (const auto& [name, member] : members_) {
+    rows.push_back(boost::json::array{"marigoldquay-presence-0", part++, name, 0});
   }
   return boost::json::serialize(boost::json::object{{"parts", std::move(rows)}});
 }
@@ -81,8 +94,9 @@
 void FakeStore::Read(const std::string& topic, std::size_t from, absl::Duration wait,
                      HttpReplyWriter& reply, Cancellation& cancellation, Yield yield) {
   const absl::Time until = absl::Now() + wait;
+  const int era = era_;
   const Cancellation::Hook hook(cancellation, [this] { changed_.cancel(); });
-  while (topics_[topic].records.size() <= from && absl::Now() < until &&
+  while (topics_[topic].records.size() <= from && absl::Now() < until && era == era_ &&
          !cancellation.cancelled()) {
     asio::steady_timer timer(io_, ToChrono(until - absl::Now()));
     timer.async_wait([this](const boost::system::error_code& error) {
@@ -91,8 +105,10 @@
     boost::system::error_code ignored;
     changed_.async_wait(yield[ignored]);
   }
+  // A return breaks waiting reads off.
+  if (era != era_) return reply.Abort();
   const Topic& read = topics_[topic];
-  if (from < read.first) {
+  if (from < read.first || from > read.records.size()) {
     Send(reply, 410, absl::StrCat(R"({"first":)", read.first, "}"), yield);
     return;
   }
@@ -138,7 +154,9 @@
   const auto body = boost::json::parse(request.body()).as_object();
   const std::string member(body.at("member").as_string());
   if (path == "/log-join") {
-    members_[member] = absl::Now() + absl::Milliseconds(body.at("ttlMs").to_number<int>());
+    const auto ttl = absl::Milliseconds(body.at("ttlMs").to_number<int>());
+    const auto joined = members_.try_emplace(member, Member{absl::Now(), {}}).first;
+    joined->second.lapses_at = absl::Now() + ttl;
   } else {
     members_.erase(member);
   }
--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -37,6 +37,9 @@
   void Put(const std::string& topic, const std::string& key, const std::string& value);
   /// Forgets the history; the newest record of each key is kept.
   void Compact();
+  /// Comes back from a copy that was made at `copied_at`: everything written since is gone, offsets
+  /// are given out again, and the era rises.
+  void Restore(absl::Time copied_at);
   void set_mode(StoreMode mode) { mode_ = mode; }
   std::size_t calls() const { return calls_; }
   std::size_t members() const { return members_.size(); }
@@ -45,6 +48,11 @@
   struct Record {
     std::string key;
     std::string value;
+    absl::Time written_at;
+  };
+  struct Member {
+    absl::Time joined_at;
+    absl::Time lapses_at;
   };
   struct Topic {
     std::vector<Record> records;
@@ -56,14 +64,16 @@
             Cancellation& cancellation, Yield yield);
   std::string Newest(const std::string& topic);
   std::string Owners();
+  void Send(HttpReplyWriter& reply, unsigned status, std::string body, Yield yield) const;
 
   asio::io_context& io_;
   asio::steady_timer changed_;
   std::map<std::string, Topic> topics_;
-  // Members of the only group with the time at which they lapse.
-  std::map<std::string, absl::Time> members_;
+  // Members of the only group.
+  std::map<std::string, Member> members_;
   StoreMode mode_ = StoreMode::kUp;
   std::size_t calls_ = 0;
+  int era_ = 1;
 };
 
 }  // namespace marigoldquay::testing
--- a/tests/platform/platform_config_test.cc
+++ b/tests/platform/platform_config_test.cc
@@ -62,11 +62,20 @@
   void ChangeFor(absl::Duration duration) {
     const absl::Time until = absl::Now() + duration;
     while (absl::Now() < until) {
-      const std::uint64_t version = world_.Configure();
-      changes_.push_back({version, absl::Now()});
+      newest_ = world_.NextConfiguration();
+      world_.Run([&] { world_.store().Put("keyed.op", "config", newest_); });
+      changes_.push_back({NumberAfter(newest_, R"("version":)"), absl::Now()});
       absl::SleepFor(kChangeInterval);
     }
   }
+  /// The store comes back from a copy of some changes ago. Only the newest configuration is written
+  /// again, so that there are fewer records than before.
+  void RestoreStore() {
+    constexpr absl::Duration kCopyAge = absl::Milliseconds(1300);
+    constexpr absl::Duration kOutage = absl::Milliseconds(700);
+    world_.RestoreStore(absl::Now() - kCopyAge, kOutage,
+                        [&](FakeStore& store) { store.Put("keyed.op", "config", newest_); });
+  }
   void BeginDisturbance(int vm) { disturbances_.push_back({vm, absl::Now()}); }
   void EndDisturbances() {
     for (Disturbance& disturbance : disturbances_) {
@@ -151,6 +160,7 @@
   }
 
   World world_;
+  std::string newest_;
   std::vector<Change> changes_;
   std::vector<Disturbance> disturbances_;
   int checked_ = 0;
@@ -221,6 +231,30 @@
   BOOST_TEST(changing.checked() > 100);
 }
 
+// Guards against a change that a VM skips or learns late because the store has come back from an
+// older copy and gives offsets out again: with all VMs up, while the coordinator is killed, and
+// while a VM is frozen and misses the return.
+BOOST_AUTO_TEST_CASE(change_is_in_force_in_time_when_the_store_comes_back_from_a_copy) {
+  ChangingWorld changing("config_restored");
+  World& world = changing.world();
+  for (int round = 0; round < 4; ++round) {
+    changing.ChangeFor(kFaultTime);
+    changing.Check();
+    const int vm = round == 2 ? (changing.Coordinator() + 1) % kVms : changing.Coordinator();
+    if (round >= 1) changing.BeginDisturbance(vm);
+    if (round == 1) world.vm(vm).Kill();
+    if (round >= 2) world.vm(vm).Pause();
+    changing.RestoreStore();
+    changing.ChangeFor(kFaultTime);
+    if (round == 1) world.StartVm(vm);
+    if (round >= 2) world.vm(vm).Resume();
+    changing.EndDisturbances();
+  }
+  changing.ChangeFor(kContact + kFaultTime);
+  changing.Check();
+  BOOST_TEST(changing.checked() > 100);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/platform/world.cc
+++ b/tests/platform/world.cc
@@ -91,7 +91,7 @@
 
 std::string World::Entry(const std::string& id, const std::string& state) const {
   const auto link = server_links_.find(id);
-  const auto& replica = *replicas_.at(id);
+  auto& replica = *replicas_.at(id);
   return replica.Entry(state,
                        link == server_links_.end() ? replica.address() : link->second->address());
 }
@@ -125,6 +125,23 @@
 }
 
 std::uint64_t World::Configure(const std::function<void(boost::json::object&)>& change) {
+  const std::string configuration = NextConfiguration(change);
+  Run([&] { store_->Put("keyed.op", "config", configuration); });
+  return version_;
+}
+
+void World::RestoreStore(absl::Time copied_at, absl::Duration outage,
+                         const std::function<void(FakeStore&)>& written_again) {
+  Run([&] { store_->set_mode(StoreMode::kReset); });
+  absl::SleepFor(outage);
+  Run([&] {
+    store_->Restore(copied_at);
+    if (written_again) written_again(*store_);
+    store_->set_mode(StoreMode::kUp);
+  });
+}
+
+std::string World::NextConfiguration(const std::function<void(boost::json::object&)>& change) {
   version_ += 3;
   boost::json::object engine{{"slots", 16}, {"kvCapacity", 100'000}, {"kvHoldS", 0.5}};
   boost::json::object config{
@@ -148,8 +165,7 @@
   }
   config["tenants"] = std::move(tenants);
   if (change) change(config);
-  Run([&] { store_->Put("keyed.op", "config", boost::json::serialize(config)); });
-  return version_;
+  return boost::json::serialize(config);
 }
 
 std::string World::SettingsPath(int index) const {
@@ -172,7 +188,7 @@
       {"listen",
        {{"front", Local(base)}, {"ready", Local(base + 1)}, {"directory", Local(base + 2)}}},
       {"portRange", boost::json::array{base + 3, base + 5}},
-      {"limits", {{"cpuShare", 0.25}, {"memoryMb", 110}, {"maxFds", 1000}}},
+      {"limits", {{"cpuShare", options_.cpu_share(index)}, {"memoryMb", 110}, {"maxFds", 1000}}},
       {"bounds",
        {{"graceS", 8},
         {"ttl_max_s", 5},
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -41,6 +41,8 @@
   /// Part of a prompt under which engines crash; empty for none.
   std::string deadly_part;
   bool with_configuration = true;
+  /// Share of a core that the VM has.
+  std::function<double(int vm)> cpu_share = [](int) { return 0.25; };
   /// Puts a LinkProxy before the store, one per VM, and before every backend server.
   bool proxied = false;
   std::string name = "world";
@@ -72,6 +74,12 @@
 
   /// Writes the configuration with a new version; `change` may alter it first.
   std::uint64_t Configure(const std::function<void(boost::json::object&)>& change = {});
+  /// The next configuration as the operator writes it.
+  std::string NextConfiguration(const std::function<void(boost::json::object&)>& change = {});
+  /// The store is away for `outage` and comes back from a copy made at `copied_at`; `written_again`
+  /// runs before it answers the first call.
+  void RestoreStore(absl::Time copied_at, absl::Duration outage,
+                    const std::function<void(FakeStore&)>& written_again = {});
   void StartVm(int index);
   Process& vm(int index) { return vms_[static_cast<std::size_t>(index)].process; }
   Address caller_address(int index) const;
@@ -95,6 +103,8 @@
   ReplicaLedger Seen();
   /// Runs of the request.
   std::vector<ReplicaRun> RunsOf(const std::string& id);
+  /// The next entry of a backend server, as it announces itself.
+  std::string Entry(const std::string& id, const std::string& state) const;
   /// Announces the state of a backend server.
   void Announce(const std::string& id, const std::string& state);
   /// Only on the thread of the stand-ins.
@@ -111,7 +121,6 @@
     std::unique_ptr<LinkProxy> store_link;
   };
 
-  std::string Entry(const std::string& id, const std::string& state) const;
   void AddReplica(const std::string& id, const std::string& service, const std::string& phase);
 
   const WorldOptions options_;
--- a/tests/soak/fault_plan.cc
+++ b/tests/soak/fault_plan.cc
@@ -35,6 +35,8 @@
 // Mean time between the starts of two faults; shorter than most of them last.
 constexpr int kMeanGapMs = 450;
 constexpr std::uint64_t kLimitSeed = 0x11117;
+constexpr std::uint64_t kReturnSeed = 0x2e7a0;
+constexpr double kLatestReturn = 0.9;
 // Parts of a run in which limits begin and at which they end. A server with a small one gets a
 // request every few seconds, which is how the VMs find out before the calm system is checked.
 constexpr double kLatestLimit = 0.25;
@@ -61,6 +63,21 @@
   }
 }
 
+// One or two returns; their draws are apart for the same reason. `length` is the age of the copy.
+void AddReturns(std::uint64_t seed, absl::Duration length, std::vector<Fault>& plan) {
+  std::mt19937_64 random(seed ^ kReturnSeed);
+  const int count = std::uniform_int_distribution<int>(1, 2)(random);
+  for (int i = 0; i < count; ++i) {
+    Fault fault;
+    fault.kind = FaultKind::kRestoreStore;
+    fault.at = length * std::uniform_real_distribution<double>(0.1, kLatestReturn)(random);
+    fault.length = absl::Milliseconds(std::uniform_int_distribution<int>(200, 4000)(random));
+    fault.target = static_cast<std::uint32_t>(random());
+    fault.variant = static_cast<std::uint32_t>(random());
+    plan.push_back(fault);
+  }
+}
+
 const KindRange& DrawKind(std::mt19937_64& random) {
   int total = 0;
   for (const auto& range : kKinds) total += range.weight;
@@ -75,7 +92,12 @@
 }  // namespace
 
 std::string Fault::ToString() const {
-  const char* name = kind == FaultKind::kNameLimit ? "name_limit" : RangeOf(kind).name;
+  const auto name_of = [](FaultKind named) {
+    if (named == FaultKind::kNameLimit) return "name_limit";
+    if (named == FaultKind::kRestoreStore) return "restore_store";
+    return RangeOf(named).name;
+  };
+  const char* name = name_of(kind);
   return absl::StrCat(name, " at ", absl::FormatDuration(at), " for ", absl::FormatDuration(length),
                       " target ", target, " variant ", variant);
 }
@@ -97,6 +119,7 @@
     plan.push_back(fault);
   }
   AddLimits(seed, length, plan);
+  AddReturns(seed, length, plan);
   return plan;
 }
 
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -28,6 +28,8 @@
   kConfigure,
   /// A backend server names a request limit in its answers.
   kNameLimit,
+  /// The store comes back from an older copy.
+  kRestoreStore,
 };
 
 /// Something that goes wrong, or an operator's change, from `at` for `length`.
@@ -44,7 +46,8 @@
   std::string ToString() const;
 };
 
-/// Faults in series that overlap, over `length`, and limits of backend servers beside them. The
+/// Faults in series that overlap, over `length`; beside them limits of backend servers, and returns
+/// of the store from older copies. The
 /// same arguments give the same plan.
 std::vector<Fault> PlanFaults(std::uint64_t seed, absl::Duration length);
 
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -87,7 +87,7 @@
 void SoakRun::Configure() {
   const std::uint64_t next = versions_.empty() ? 3 : versions_.front() + 3;
   versions_.insert(versions_.begin(), next);
-  const auto written = world_->Configure([this](boost::json::object& config) {
+  configuration_ = world_->NextConfiguration([this](boost::json::object& config) {
     auto& tenants = config["tenants"].as_array();
     tenants[1].as_object()["ratePerS"] = kLimitedRate;
     tenants[1].as_object()["burst"] = kLimitedRate;
@@ -99,8 +99,10 @@
       routes.push_back(std::move(route));
     }
   });
-  if (written != next) Report(absl::StrCat("version ", written, " instead of ", next));
-  world_->Run([this] { log_.versions = versions_; });
+  world_->Run([this] {
+    world_->store().Put("keyed.op", "config", configuration_);
+    log_.versions = versions_;
+  });
 }
 
 void SoakRun::RestartVm(int vm) {
@@ -204,12 +206,27 @@
 
 void SoakRun::BeginDrain(const Fault& fault) {
   const std::string id = Servers()[fault.target % Servers().size()];
+  ++departures_[id];
   if (fault.variant % 2 == 0) {
     world_->Announce(id, "draining");
   } else {
     world_->Unlist(id);
   }
-  Schedule(fault.length, [this, id] { world_->Announce(id, "ready"); });
+  Schedule(fault.length, [this, id] {
+    if (--departures_[id] == 0) world_->Announce(id, "ready");
+  });
+}
+
+// The operator and the servers write again what the copy does not hold, a heartbeat later.
+void SoakRun::RestoreStore(const Fault& fault) {
+  constexpr absl::Duration kHeartbeat = absl::Milliseconds(700);
+  world_->Run([&] { world_->store().Restore(absl::Now() - fault.length); });
+  Schedule(kHeartbeat * (fault.variant % 3) / 2, [this] {
+    world_->Run([this] { world_->store().Put("keyed.op", "config", configuration_); });
+    for (const std::string& id : Servers()) {
+      if (departures_[id] == 0) world_->Announce(id, "ready");
+    }
+  });
 }
 
 void SoakRun::BeginLimit(const Fault& fault) {
@@ -267,6 +284,8 @@
       return Configure();
     case FaultKind::kNameLimit:
       return BeginLimit(fault);
+    case FaultKind::kRestoreStore:
+      return RestoreStore(fault);
   }
 }
 
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -68,6 +68,7 @@
   void BeginServerBehavior(const Fault& fault);
   void BeginDrain(const Fault& fault);
   void BeginLimit(const Fault& fault);
+  void RestoreStore(const Fault& fault);
   void Disturb(int vm, absl::Duration length);
   /// Ids of the requests that request limits need not hold for.
   std::vector<std::string> ExcusedFromLimits(const ReplicaLedger& seen) const;
@@ -81,6 +82,10 @@
   std::map<std::string, ReplicaBehavior> behaviors_;
   /// Limits that backend servers name; on the thread of the world.
   std::map<std::string, std::string> limits_;
+  /// Number of faults by which a backend server is leaving or gone.
+  std::map<std::string, int> departures_;
+  /// The newest configuration as the operator has written it.
+  std::string configuration_;
   std::vector<Disturbance> disturbances_;
   CallLog log_;
   std::unique_ptr<World> world_;
