Make fencing tokens rise across returns of the store

What was seen (platform_roles_test on, two failures): after the store had come back from a copy without the claim of the coordinator, the next holder got the same token, 1, and a holder that stayed gave no orders any more.

Cause: the token was the offset of the claim, and offsets go back; the check of a lost claim reads beyond the end of the log, which fails with 410, and a failed check neither drops the claim nor allows orders.

A claim of an earlier era, or one that the log does not reach, is not the latest.

--- a/packages/fleet/include/marigoldquay/fleet/cluster_store.h
+++ b/packages/fleet/include/marigoldquay/fleet/cluster_store.h
@@ -91,9 +91,9 @@
   /// Withdraws the announcement of a member.
   virtual ErrorOrVoid WithdrawPresence(const std::string& member, Yield yield) = 0;
   /// Claims the exclusive right to order engine roles. Returns a fencing token that is higher than
-  /// that of every earlier claim of any VM.
+  /// that of every earlier claim of any VM, in all eras.
   virtual ErrorOr<std::uint64_t> AcquireOrderClaim(const std::string& holder, Yield yield) = 0;
-  /// Whether no VM has made a claim after this one.
+  /// Whether the store still holds the claim and no VM has made one after it.
   virtual ErrorOr<bool> IsLatestOrderClaim(std::uint64_t claim, Yield yield) = 0;
   /// Names of announced members; the first one is the coordinator unless it is unreachable.
   virtual ErrorOr<std::vector<std::string>> ListMembers(Yield yield) = 0;
--- a/tests/platform/platform_roles_test.cc
+++ b/tests/platform/platform_roles_test.cc
@@ -67,6 +67,15 @@
     return -1;
   }
 
+  // The servers write their entries again; the claims are lost.
+  void RestoreStore(absl::Time copied_at) {
+    world.RestoreStore(copied_at, absl::Milliseconds(500), [this](FakeStore& store) {
+      for (const std::string engine : {"p1", "p2", "p3", "p4", "p5", "d1"}) {
+        store.Put("keyed.servers", engine, world.Entry(engine, "ready"));
+      }
+    });
+  }
+
   // Claims only grow, two holders are a lease apart, and no engine is ordered twice.
   void CheckHolders() {
     const auto orders = Orders();
@@ -118,6 +127,32 @@
   CheckHolders();
 }
 
+// Guards against a claim with the number of an earlier one, after the store has come back from a
+// copy without that one, and against a holder that orders on a claim that the store has lost.
+BOOST_AUTO_TEST_CASE(claims_rise_after_the_store_comes_back_from_a_copy) {
+  const absl::Time before_claim = absl::Now();
+  BOOST_TEST_REQUIRE(Eventually(absl::Seconds(15), [&] { return !Orders().empty(); }));
+  const auto first = Orders().front();
+  const int vm = VmOf(first.holder);
+  BOOST_TEST_REQUIRE(vm >= 0);
+  world.vm(vm).Kill();
+  RestoreStore(before_claim);
+  world.StartVm(vm);
+  BOOST_TEST(Eventually(absl::Seconds(30), [&] { return Orders().back().holder != first.holder; }));
+  CheckHolders();
+}
+
+// Guards against a holder that gives no orders any more because the store has lost its claim.
+BOOST_AUTO_TEST_CASE(holder_orders_again_after_the_store_has_lost_its_claim) {
+  const absl::Time before_claim = absl::Now();
+  BOOST_TEST_REQUIRE(Eventually(absl::Seconds(15), [&] { return !Orders().empty(); }));
+  const auto before = Orders();
+  RestoreStore(before_claim);
+  BOOST_TEST(
+      Eventually(absl::Seconds(30), [&] { return Orders().back().claim > before.back().claim; }));
+  CheckHolders();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
