--- a/apps/marigoldquayd/platform_node.cc
+++ b/apps/marigoldquayd/platform_node.cc
@@ -19,6 +19,7 @@
 #include "marigoldquay/fleet/coordinator_link.h"
 #include "marigoldquay/fleet/followers.h"
 #include "marigoldquay/fleet/presence_keeper.h"
+#include "marigoldquay/fleet/quarantine_keeper.h"
 #include "marigoldquay/fleet/role_keeper.h"
 #include "marigoldquay/platform/header_dialect.h"
 #include "marigoldquay/platform/node_settings.h"
@@ -133,10 +134,12 @@
         role_keeper_(
             io_, clock_, view_, store_, dialect_, connections_, coordinator_,
             {self_.instance.ToString(), settings_.order_lease, [this] { return MayOrder(); }}),
+        quarantine_keeper_(io_, clock_, store_, coordinator_,
+                           [this] { return link_.FeedsOthers(); }),
         catalog_follower_(io_, clock_, store_, view_, link_, [this] { OnCatalogChange(); }),
         replica_follower_(io_, clock_, store_, view_, link_, [this] { OnReplicaChange(); }),
         front_({io_, clock_, view_, dialect_, connections_, health_, balancer_, budgets_, link_,
-                link_, [this] { return link_.member_count(); },
+                link_, link_, [this] { return link_.member_count(); },
                 [this](const BackendServerId& id) { OnLeavingServer(id); },
                 [this](const StatedRequestLimit& stated) { OnRequestLimit(stated); }}),
         directory_(
@@ -167,6 +170,7 @@
     spawn("presence", [this](Yield yield) { presence_.Run(yield); });
     spawn("coordinator link", [this](Yield yield) { link_.Run(yield); });
     spawn("engine roles", [this](Yield yield) { role_keeper_.Run(yield); });
+    spawn("quarantines", [this](Yield yield) { quarantine_keeper_.Run(yield); });
     spawn("reports", [this](Yield yield) { link_.RunReports(yield); });
     spawn("signals", [this](Yield yield) { AwaitSignals(yield); });
     spawn("housekeeping", [this](Yield yield) { KeepHouse(yield); });
@@ -377,6 +381,7 @@
   Coordinator coordinator_;
   CoordinatorLink link_;
   RoleKeeper role_keeper_;
+  QuarantineKeeper quarantine_keeper_;
   CatalogFollower catalog_follower_;
   ReplicaFollower replica_follower_;
   FrontHandler front_;
--- a/packages/dispatch/include/marigoldquay/dispatch/fwd.h
+++ b/packages/dispatch/include/marigoldquay/dispatch/fwd.h
@@ -4,7 +4,7 @@
 
 namespace marigoldquay {
 
-class PromptQuarantine;
+class RequestQuarantine;
 class QuotaBalances;
 class QuotaLedger;
 class ReplicaBalancer;
@@ -13,9 +13,9 @@
 class StreamScheduler;
 class WindowedRetryBudget;
 struct AccountQuota;
-struct EngineCrash;
+struct ServerCrash;
 struct EngineLoad;
-struct QuarantinedPrompt;
+struct QuarantinedTraits;
 struct QuotaAccount;
 struct QuotaDecision;
 struct ReplicaLoad;
--- a/packages/fleet/include/marigoldquay/fleet/cluster_store.h
+++ b/packages/fleet/include/marigoldquay/fleet/cluster_store.h
@@ -12,6 +12,7 @@
 #include "absl/time/time.h"
 #include "marigoldquay/core/error_or.h"
 #include "marigoldquay/core/types.h"
+#include "marigoldquay/dispatch/request_quarantine.h"
 #include "marigoldquay/net/async.h"
 #include "marigoldquay/routing/catalog.h"
 #include "marigoldquay/routing/replica_table.h"
@@ -63,6 +64,23 @@
   StorePosition next;
 };
 
+/// A quarantine as the store keeps it; see QuarantinedTraits.
+struct KeptQuarantine {
+  std::vector<RequestTrait> traits;
+  /// Time until it ends; not positive when it has ended.
+  absl::Duration left;
+
+  bool operator==(const KeptQuarantine&) const = default;
+};
+
+/// Result of reading the quarantines.
+struct KeptQuarantines {
+  /// Including those that have ended.
+  std::vector<KeptQuarantine> listed;
+  /// One reason for each record that was skipped.
+  std::vector<std::string> skipped;
+};
+
 /// Errors: kResourceExhausted (rate limit exceeded), kRefused (not executed), kConflict (condition
 /// not met, not a member, or the era changed during a read of several calls), kNotFound (the
 /// history at this position was discarded, or the position is of an earlier era), kTimeout and
@@ -95,6 +113,9 @@
   virtual ErrorOr<std::uint64_t> AcquireOrderClaim(const std::string& holder, Yield yield) = 0;
   /// Whether the store still holds the claim and no VM has made one after it.
   virtual ErrorOr<bool> IsLatestOrderClaim(std::uint64_t claim, Yield yield) = 0;
+  virtual ErrorOr<KeptQuarantines> ListQuarantines(Yield yield) = 0;
+  virtual ErrorOrVoid KeepQuarantine(const KeptQuarantine& quarantine, Yield yield) = 0;
+  virtual ErrorOrVoid DropQuarantine(const std::vector<RequestTrait>& traits, Yield yield) = 0;
   /// Names of announced members; the first one is the coordinator unless it is unreachable.
   virtual ErrorOr<std::vector<std::string>> ListMembers(Yield yield) = 0;
 };
--- a/packages/fleet/include/marigoldquay/fleet/coordinator.h
+++ b/packages/fleet/include/marigoldquay/fleet/coordinator.h
@@ -13,8 +13,8 @@
 #include <vector>
 
 #include "marigoldquay/core/clock.h"
-#include "marigoldquay/dispatch/prompt_quarantine.h"
 #include "marigoldquay/dispatch/quota_ledger.h"
+#include "marigoldquay/dispatch/request_quarantine.h"
 #include "marigoldquay/dispatch/stream_scheduler.h"
 #include "marigoldquay/fleet/cluster_store.h"
 #include "marigoldquay/fleet/frame_connection.h"
@@ -78,6 +78,13 @@
     SchedulerFor(service).OnRoleChangeAccepted(engine, until);
   }
 
+  /// The quarantines that are in force here.
+  std::vector<QuarantinedTraits> quarantined() const {
+    return quarantine_.quarantined(clock_.Now());
+  }
+  /// Adopts a quarantine of an earlier coordinator.
+  void AdoptQuarantine(const QuarantinedTraits& quarantined);
+
   std::size_t sessions() const { return sessions_.size(); }
   /// Whether the VM reports to this coordinator.
   bool IsReporting(absl::string_view vm) const { return reporting_members_.contains(vm); }
@@ -97,6 +104,7 @@
     std::uint64_t sent_members_version = 0;
     std::uint64_t sent_replicas_version = 0;
     std::uint64_t sent_catalog_version = 0;
+    std::uint64_t sent_quarantine_version = 0;
     // (service, ticket) of its placements, which are cancelled when the session ends.
     std::set<std::pair<std::string, std::uint64_t> > tickets;
   };
@@ -121,15 +129,18 @@
   void OnPlaceRequest(Session& session, std::uint64_t call_id,
                       const protocol::PlaceStreamRequestT& request);
   void OnProgress(Session& session, const protocol::StreamProgressMessageT& message);
-  // Crashes of engines and quarantined parts that a VM reports.
-  void OnPromptReport(const protocol::FleetReportT& report);
+  // Crashes of backend servers, quarantines and answered suspects that a VM reports.
+  void OnCrashReport(const protocol::FleetReportT& report, absl::Time made_at);
   // What a VM knows of the store's data, which may be newer than the data of this VM.
-  void OnStoreReport(Session& session, const protocol::FleetReportT& report);
-  void OnCrash(const EngineCrash& crash);
+  void OnStoreReport(Session& session, const protocol::FleetReportT& report, absl::Time made_at);
+  // Earliest time at which the report can have been made: after a state of this VM that it names.
+  // It may have been under way for long.
+  absl::Time EarliestMakingOf(const protocol::FleetReportT& report) const;
+  void OnCrash(const ServerCrash& crash);
   void RecordServed(const StreamDemand& demand, absl::Time began_at) {
     quarantine_.OnServed(demand.shared_parts, began_at);
   }
-  // Fills `refusal` and returns true when a part of the prompt is quarantined.
+  // Fills `refusal` and returns true when parts of the prompt are quarantined.
   bool RefusesPrompt(const StreamDemand& demand, protocol::PlaceStreamReplyT& refusal) const;
   // Charges the tokens of a request to its account; fills `refusal` and returns false when they
   // exceed the rate.
@@ -158,6 +169,7 @@
   void AddMembers(std::uint64_t since, protocol::FleetStateT& state) const;
   void AddReplicas(std::uint64_t since, protocol::FleetStateT& state) const;
   void AddCatalog(std::uint64_t since, protocol::FleetStateT& state) const;
+  void AddQuarantines(std::uint64_t since, protocol::FleetStateT& state) const;
   void BroadcastState();
   std::size_t MemberCount() const;
   absl::Duration StateInterval() const;
@@ -177,7 +189,7 @@
   std::map<std::string, StreamScheduler> schedulers_;
   std::map<TicketKey, QueuedPlacement> queued_placements_;
   QuotaLedger quota_{0};
-  PromptQuarantine quarantine_;
+  RequestQuarantine quarantine_;
   MemberTable reporting_members_;
   // VMs whose session has ended, with the time until which they still count for the quota shares,
   // as they may admit requests on their own until then.
--- a/packages/fleet/include/marigoldquay/fleet/coordinator_link.h
+++ b/packages/fleet/include/marigoldquay/fleet/coordinator_link.h
@@ -14,9 +14,9 @@
 #include <vector>
 
 #include "marigoldquay/core/clock.h"
-#include "marigoldquay/dispatch/prompt_quarantine.h"
 #include "marigoldquay/dispatch/quota_balances.h"
 #include "marigoldquay/dispatch/quota_ledger.h"
+#include "marigoldquay/dispatch/request_quarantine.h"
 #include "marigoldquay/dispatch/stream_scheduler.h"
 #include "marigoldquay/fleet/coordinator.h"
 #include "marigoldquay/fleet/followers.h"
@@ -53,7 +53,10 @@
   std::function<bool(absl::string_view vm)> reports_to_this_vm;
 };
 
-class CoordinatorLink final : public StreamPlacer, public QuotaGate, public FeedMonitor {
+class CoordinatorLink final : public StreamPlacer,
+                              public CrashGuard,
+                              public QuotaGate,
+                              public FeedMonitor {
  public:
   CoordinatorLink(asio::io_context& io, const Clock& clock, const ClusterView& view,
                   const MemberSource& source, FeedSink& feed, CoordinatorLinkHooks hooks);
@@ -68,8 +71,9 @@
   void OnPrefillEnd(const StreamPlacement& placement, bool ok) override;
   void OnFirstEvent(const StreamPlacement& placement) override;
   void OnEnd(const StreamPlacement& placement, StreamEnd end) override;
-  void OnCrash(const EngineCrash& crash) override;
-  absl::Duration QuarantineTimeLeft(std::span<const PromptPartId> parts) const override;
+  void OnCrash(const ServerCrash& crash) override;
+  void OnRequestServed(RequestFingerprint request) override;
+  absl::Duration QuarantineTimeLeft(std::span<const RequestTrait> traits) const override;
   QuotaDecision Admit(const CatalogWorkspace& workspace, TokenCount tokens,
                       Cancellation& cancellation, Yield yield) override;
   QuotaDecision AdmitRequest(const Replica& server, Cancellation& cancellation,
@@ -205,7 +209,7 @@
   // Records that the parts of a stream crash no engine, if it has sent events for long enough.
   void RecordServed(const ActivePlacement& active, absl::Duration proven_after);
   // Adds crashes of engines and quarantined parts.
-  void AddPromptReport(protocol::FleetReportT& report, bool first);
+  void AddCrashReport(protocol::FleetReportT& report, bool first);
   // Adds the request limits to report: all known ones in the first report of a session.
   void AddRequestLimits(protocol::FleetReportT& report, bool first);
   // Switches to local decisions; the local ledger continues from the last known balances.
@@ -279,10 +283,15 @@
   std::set<BackendServerId> leaving_servers_;
   // Servers whose request limit has to be reported.
   std::set<BackendServerId> servers_with_new_limit_;
-  // What this VM knows of prompt parts: its own streams, and what the coordinator has sent.
-  PromptQuarantine quarantine_;
+  // What this VM knows of deadly requests: its own, and what the coordinator has sent.
+  RequestQuarantine quarantine_;
+  // Requests that the coordinator wants to hear of when they are answered.
+  std::vector<RequestFingerprint> suspected_requests_;
+  // Those of them that were answered since the last report, with the time; at most
+  // RequestQuarantine::kMaxSuspects.
+  std::map<RequestFingerprint, absl::Time> served_requests_;
   // The last crashes that this VM has seen, oldest first; at most kMaxRememberedCrashes.
-  std::deque<EngineCrash> crashes_;
+  std::deque<ServerCrash> crashes_;
   // Number of crashes at the end of crashes_ that have not been reported.
   std::size_t unreported_crashes_ = 0;
   bool needs_servers_ = false;
--- a/packages/fleet/src/coordinator.cc
+++ b/packages/fleet/src/coordinator.cc
@@ -199,7 +199,8 @@
   const absl::Time now = clock_.Now();
   session.member = FromWire(*report.sender);
   reporting_members_.Set(session.member);
-  OnStoreReport(session, report);
+  const absl::Time made_at = EarliestMakingOf(report);
+  OnStoreReport(session, report, made_at);
   // Levels and charges below refer to these limits.
   for (const auto& limit : report.request_limits) {
     hooks_.on_request_limit(FromWire(*limit, now));
@@ -207,19 +208,23 @@
   if (!session.reported) OnFirstReport(session, report);
   if (report.needs_servers) session.sent_replicas_version = 0;
   for (const auto& server : report.leaving_servers) hooks_.on_leaving_server(server);
-  OnPromptReport(report);
+  OnCrashReport(report, made_at);
   for (const auto& entry : report.spent) {
     const auto quota = FindQuota(view_, AccountFromWire(*entry));
     if (quota) quota_.Charge(*quota, entry->tokens, now);
   }
 }
 
-void Coordinator::OnStoreReport(Session& session, const protocol::FleetReportT& report) {
+absl::Time Coordinator::EarliestMakingOf(const protocol::FleetReportT& report) const {
   const absl::Time now = clock_.Now();
-  // The report was made after a state of this VM, and may have been under way for long.
+  if (report.state_sent_ms == 0) return now;
   const absl::Time earliest =
       ClockFromWire(report.state_sent_ms) + absl::Milliseconds(report.state_held_ms);
-  const absl::Time made_at = report.state_sent_ms > 0 ? std::min(earliest, now) : now;
+  return std::min(earliest, now);
+}
+
+void Coordinator::OnStoreReport(Session& session, const protocol::FleetReportT& report,
+                                absl::Time made_at) {
   session.store_contact = {report.store_era, made_at - absl::Milliseconds(report.store_age_ms)};
   for (const auto& departure : report.departures) hooks_.on_departure(FromWire(*departure));
   session.catalog_version = report.catalog_version;
@@ -233,24 +238,29 @@
   }
 }
 
-void Coordinator::OnPromptReport(const protocol::FleetReportT& report) {
+void Coordinator::OnCrashReport(const protocol::FleetReportT& report, absl::Time made_at) {
   const absl::Time now = clock_.Now();
-  bool changed = false;
-  for (const auto& prompt : report.quarantined) {
-    changed = quarantine_.Adopt(FromWire(*prompt, now), now) || changed;
+  const std::uint64_t before = quarantine_.version();
+  for (const auto& quarantined : report.quarantined) {
+    (void)quarantine_.Adopt(FromWire(*quarantined, now), now);
+  }
+  for (const auto& crash : report.crashes) OnCrash(FromWire(*crash, made_at));
+  for (const auto& served : report.served) {
+    quarantine_.OnRequestServed(served->request, made_at - absl::Milliseconds(served->age_ms));
   }
-  for (const auto& crash : report.crashes) OnCrash(FromWire(*crash, now));
-  if (changed) TriggerStateBroadcast();
+  if (quarantine_.version() != before || !report.crashes.empty()) TriggerStateBroadcast();
+}
+
+void Coordinator::AdoptQuarantine(const QuarantinedTraits& quarantined) {
+  if (quarantine_.Adopt(quarantined, clock_.Now())) TriggerStateBroadcast();
 }
 
-void Coordinator::OnCrash(const EngineCrash& crash) {
-  const absl::Time proven = clock_.Now() - PromptQuarantine::kProvenAfter;
+void Coordinator::OnCrash(const ServerCrash& crash) {
+  const absl::Time proven = clock_.Now() - RequestQuarantine::kProvenAfter;
   for (const auto& [service, scheduler] : schedulers_) {
     scheduler.VisitBegun(proven, std::bind_front(&Coordinator::RecordServed, this));
   }
-  const auto added = quarantine_.OnCrash(crash);
-  internal::LogCrash(Log(), crash, added);
-  if (added) TriggerStateBroadcast();
+  internal::LogCrash(Log(), crash, quarantine_.OnCrash(crash));
 }
 
 bool Coordinator::RefusesPrompt(const StreamDemand& demand,
@@ -258,7 +268,7 @@
   const absl::Duration left = quarantine_.TimeLeft(demand.shared_parts, clock_.Now());
   if (left <= absl::ZeroDuration()) return false;
   refusal.status = protocol::PlaceStreamStatus::Refused;
-  refusal.reason = internal::kQuarantinedReason;
+  refusal.reason = kQuarantinedReason;
   refusal.retry_after_ms = static_cast<std::uint32_t>(absl::ToInt64Milliseconds(left));
   return true;
 }
@@ -385,7 +395,7 @@
   StreamScheduler& scheduler = SchedulerFor(message.service);
   const auto end = [&](StreamEnd outcome) {
     const absl::Time proven =
-        outcome == StreamEnd::kDone ? now : now - PromptQuarantine::kProvenAfter;
+        outcome == StreamEnd::kDone ? now : now - RequestQuarantine::kProvenAfter;
     scheduler.VisitBegun(message.ticket, proven, std::bind_front(&Coordinator::RecordServed, this));
     queued_placements_.erase({message.service, message.ticket});
     session.tickets.erase({message.service, message.ticket});
--- a/packages/fleet/src/coordinator_link.cc
+++ b/packages/fleet/src/coordinator_link.cc
@@ -349,9 +349,10 @@
   AccountLevels levels;
   for (const auto& entry : state.balances) levels[AccountFromWire(*entry)] = entry->tokens;
   balances_.Update(std::move(levels), clock_.Now());
-  for (const auto& prompt : state.quarantined) {
-    (void)quarantine_.Adopt(FromWire(*prompt, clock_.Now()), clock_.Now());
+  for (const auto& quarantined : state.quarantined) {
+    (void)quarantine_.Adopt(FromWire(*quarantined, clock_.Now()), clock_.Now());
   }
+  suspected_requests_ = state.suspected_requests;
   ApplyFeed(state);
   FollowRedirect(FromWire(*state.coordinator));
 }
@@ -410,7 +411,7 @@
   const bool first = std::exchange(reported_session_, session_) != session_;
   AddStoreReport(report, first);
   AddRequestLimits(report, first);
-  AddPromptReport(report, first);
+  AddCrashReport(report, first);
   if (first) {
     report.member_count = static_cast<std::uint32_t>(member_count_);
     for (const auto& [account, tokens] : balances_.levels()) {
@@ -462,13 +463,19 @@
   servers_with_new_limit_.clear();
 }
 
-void CoordinatorLink::AddPromptReport(protocol::FleetReportT& report, bool first) {
+void CoordinatorLink::AddCrashReport(protocol::FleetReportT& report, bool first) {
   const absl::Time now = clock_.Now();
   const std::size_t count = first ? crashes_.size() : std::exchange(unreported_crashes_, 0);
   for (auto crash = crashes_.end() - static_cast<std::ptrdiff_t>(count); crash != crashes_.end();
        ++crash) {
     report.crashes.push_back(ToWire(*crash, now));
   }
+  for (const auto& [request, served_at] : std::exchange(served_requests_, {})) {
+    protocol::ServedRequestT served;
+    served.request = request;
+    served.age_ms = static_cast<std::uint32_t>(absl::ToInt64Milliseconds(now - served_at));
+    report.served.push_back(std::make_unique<protocol::ServedRequestT>(served));
+  }
   if (!first) return;
   unreported_crashes_ = 0;
   report.quarantined = ToWire(quarantine_, now);
--- a/packages/fleet/src/coordinator_link_placing.cc
+++ b/packages/fleet/src/coordinator_link_placing.cc
@@ -176,7 +176,7 @@
                                         Cancellation& cancellation, Yield yield) {
   const absl::Duration quarantine = QuarantineTimeLeft(request.demand.shared_parts);
   if (quarantine > absl::ZeroDuration()) {
-    return PlacementRefusal{false, quarantine, internal::kQuarantinedReason};
+    return PlacementRefusal{false, quarantine, kQuarantinedReason};
   }
   const absl::Time until =
       std::min(clock_.Now() + kMaxFailoverWait, request.demand.caller_deadline);
@@ -291,7 +291,7 @@
   const auto found = active_placements_.find(placement.ticket);
   if (found == active_placements_.end()) return;
   RecordServed(found->second,
-               end == StreamEnd::kDone ? absl::ZeroDuration() : PromptQuarantine::kProvenAfter);
+               end == StreamEnd::kDone ? absl::ZeroDuration() : RequestQuarantine::kProvenAfter);
   if (placement.local) {
     LocalScheduler(placement.service).OnEnd(found->second.ticket, end, clock_.Now());
   } else {
@@ -306,9 +306,9 @@
   quarantine_.OnServed(active.demand.shared_parts, active.first_event);
 }
 
-void CoordinatorLink::OnCrash(const EngineCrash& crash) {
+void CoordinatorLink::OnCrash(const ServerCrash& crash) {
   for (const auto& [ticket, active] : active_placements_) {
-    RecordServed(active, PromptQuarantine::kProvenAfter);
+    RecordServed(active, RequestQuarantine::kProvenAfter);
   }
   internal::LogCrash(Log(), crash, quarantine_.OnCrash(crash));
   crashes_.push_back(crash);
@@ -318,8 +318,20 @@
   SendReport();
 }
 
-absl::Duration CoordinatorLink::QuarantineTimeLeft(std::span<const PromptPartId> parts) const {
-  return quarantine_.TimeLeft(parts, clock_.Now());
+void CoordinatorLink::OnRequestServed(RequestFingerprint request) {
+  const absl::Time now = clock_.Now();
+  quarantine_.OnRequestServed(request, now);
+  const bool wanted = std::find(suspected_requests_.begin(), suspected_requests_.end(), request) !=
+                      suspected_requests_.end();
+  if (!wanted || served_requests_.size() >= RequestQuarantine::kMaxSuspects) return;
+  const bool first = served_requests_.empty();
+  served_requests_[request] = now;
+  // One more crash elsewhere would condemn the request meanwhile.
+  if (first) SendReport();
+}
+
+absl::Duration CoordinatorLink::QuarantineTimeLeft(std::span<const RequestTrait> traits) const {
+  return quarantine_.TimeLeft(traits, clock_.Now());
 }
 
 std::optional<QuotaDecision> CoordinatorLink::RequestTokens(const AccountQuota& quota,
--- a/packages/fleet/src/coordinator_state.cc
+++ b/packages/fleet/src/coordinator_state.cc
@@ -107,7 +107,7 @@
   state.sent_ms = ClockToWire(clock_.Now());
   state.store_age_ms =
       static_cast<std::uint32_t>(absl::ToInt64Milliseconds(std::min(store_age, kMaxReportedAge)));
-  state.quarantined = ToWire(quarantine_, clock_.Now());
+  state.suspected_requests = quarantine_.suspects();
   state.catalog_source = CatalogSource();
   const auto catalog = view_.catalog();
   if (!catalog) return state;
@@ -175,6 +175,11 @@
   state.catalog.assign(record.begin(), record.end());
 }
 
+void Coordinator::AddQuarantines(std::uint64_t since, protocol::FleetStateT& state) const {
+  state.quarantined.clear();
+  if (since < quarantine_.version()) state.quarantined = ToWire(quarantine_, clock_.Now());
+}
+
 void Coordinator::TriggerStateBroadcast() { state_timer_.cancel(); }
 
 void Coordinator::BroadcastState() {
@@ -187,9 +192,10 @@
     std::uint64_t members = 0;
     std::uint64_t replicas = 0;
     std::uint64_t catalog = 0;
+    std::uint64_t quarantine = 0;
     bool operator<(const SentVersions& other) const {
-      return std::tie(members, replicas, catalog) <
-             std::tie(other.members, other.replicas, other.catalog);
+      return std::tie(members, replicas, catalog, quarantine) <
+             std::tie(other.members, other.replicas, other.catalog, other.quarantine);
     }
   };
   std::map<SentVersions, std::string> frames;
@@ -201,17 +207,20 @@
     const std::uint64_t members_since =
         with_members ? session->sent_members_version : reporting_members_.version();
     const SentVersions sent_versions{members_since, session->sent_replicas_version,
-                                     session->sent_catalog_version};
+                                     session->sent_catalog_version,
+                                     session->sent_quarantine_version};
     auto& frame = frames[sent_versions];
     if (frame.empty()) {
       AddMembers(members_since, state);
       AddReplicas(sent_versions.replicas, state);
       AddCatalog(sent_versions.catalog, state);
+      AddQuarantines(sent_versions.quarantine, state);
       frame = FrameConnection::Encode(protocol::MessageType::FleetState, 0, state);
     }
     if (with_members) session->sent_members_version = reporting_members_.version();
     session->sent_replicas_version = view_.replicas().version();
     session->sent_catalog_version = state.catalog_version;
+    session->sent_quarantine_version = quarantine_.version();
     session->connection->SendBytes(frame);
   }
 }
--- a/packages/fleet/src/wire.cc
+++ b/packages/fleet/src/wire.cc
@@ -59,48 +59,51 @@
   return stated;
 }
 
-void LogCrash(const Logger& logger, const EngineCrash& crash,
-              const std::optional<QuarantinedPrompt>& quarantined) {
-  const auto in_hex = [](std::string* out, PromptPartId part) {
-    absl::StrAppend(out, absl::Hex(part, absl::kZeroPad16));
+void LogCrash(const Logger& logger, const ServerCrash& crash,
+              const std::optional<QuarantinedTraits>& quarantined) {
+  const auto in_hex = [](std::string* out, RequestTrait trait) {
+    absl::StrAppend(out, absl::Hex(trait, absl::kZeroPad16));
   };
   LogFields fields;
-  fields.Add("backend_server", crash.engine)
+  fields.Add("backend_server", crash.server)
       .Add("parts", absl::StrJoin(crash.parts, ",", in_hex))
-      .Add("quarantined", quarantined ? absl::StrJoin(quarantined->parts, ",", in_hex) : "");
-  logger.Event("engine_crash", fields, LogLevel::kWarn);
+      .Add("request", absl::StrCat(absl::Hex(crash.request, absl::kZeroPad16)))
+      .Add("quarantined", quarantined ? absl::StrJoin(quarantined->traits, ",", in_hex) : "");
+  logger.Event("backend_server_crash", fields, LogLevel::kWarn);
 }
 
-std::unique_ptr<protocol::EngineCrashT> ToWire(const EngineCrash& crash, absl::Time now) {
-  auto wire = std::make_unique<protocol::EngineCrashT>();
-  wire->engine = crash.engine;
+std::unique_ptr<protocol::ServerCrashT> ToWire(const ServerCrash& crash, absl::Time now) {
+  auto wire = std::make_unique<protocol::ServerCrashT>();
+  wire->server = crash.server;
   wire->parts = crash.parts;
+  wire->request = crash.request;
   wire->age_ms = absl::ToInt64Milliseconds(now - crash.at);
   return wire;
 }
 
-EngineCrash FromWire(const protocol::EngineCrashT& wire, absl::Time now) {
-  EngineCrash crash;
-  crash.engine = wire.engine;
+ServerCrash FromWire(const protocol::ServerCrashT& wire, absl::Time now) {
+  ServerCrash crash;
+  crash.server = wire.server;
   crash.parts = wire.parts;
+  crash.request = wire.request;
   crash.at = now - absl::Milliseconds(std::max<std::int64_t>(wire.age_ms, 0));
   return crash;
 }
 
-std::vector<std::unique_ptr<protocol::QuarantinedPromptT>> ToWire(
-    const PromptQuarantine& quarantine, absl::Time now) {
-  std::vector<std::unique_ptr<protocol::QuarantinedPromptT>> wires;
-  for (const QuarantinedPrompt& prompt : quarantine.quarantined(now)) {
-    auto wire = std::make_unique<protocol::QuarantinedPromptT>();
-    wire->parts = prompt.parts;
-    wire->left_ms = static_cast<std::uint32_t>(absl::ToInt64Milliseconds(prompt.until - now));
+std::vector<std::unique_ptr<protocol::QuarantinedTraitsT>> ToWire(
+    const RequestQuarantine& quarantine, absl::Time now) {
+  std::vector<std::unique_ptr<protocol::QuarantinedTraitsT>> wires;
+  for (const QuarantinedTraits& quarantined : quarantine.quarantined(now)) {
+    auto wire = std::make_unique<protocol::QuarantinedTraitsT>();
+    wire->traits = quarantined.traits;
+    wire->left_ms = static_cast<std::uint32_t>(absl::ToInt64Milliseconds(quarantined.until - now));
     wires.push_back(std::move(wire));
   }
   return wires;
 }
 
-QuarantinedPrompt FromWire(const protocol::QuarantinedPromptT& wire, absl::Time now) {
-  return {wire.parts, now + absl::Milliseconds(wire.left_ms)};
+QuarantinedTraits FromWire(const protocol::QuarantinedTraitsT& wire, absl::Time now) {
+  return {wire.traits, now + absl::Milliseconds(wire.left_ms)};
 }
 
 std::unique_ptr<protocol::ServerDepartureT> ToWire(const ServerDeparture& departure) {
--- a/packages/fleet/src/wire.h
+++ b/packages/fleet/src/wire.h
@@ -7,8 +7,8 @@
 #include <vector>
 
 #include "marigoldquay/core/logger.h"
-#include "marigoldquay/dispatch/prompt_quarantine.h"
 #include "marigoldquay/dispatch/quota_account.h"
+#include "marigoldquay/dispatch/request_quarantine.h"
 #include "marigoldquay/dispatch/stream_scheduler.h"
 #include "marigoldquay/fleet/member.h"
 #include "marigoldquay/protocol/codec.h"
@@ -24,17 +24,15 @@
 std::unique_ptr<protocol::RequestLimitT> ToWire(const StatedRequestLimit& stated, absl::Time now);
 StatedRequestLimit FromWire(const protocol::RequestLimitT& wire, absl::Time now);
 
-/// Reason of a refusal, for callers and the log.
-inline constexpr char kQuarantinedReason[] = "a part of the prompt has crashed backend servers";
-/// Logs a crash under a model request, and the quarantine that begins because of it.
-void LogCrash(const Logger& logger, const EngineCrash& crash,
-              const std::optional<QuarantinedPrompt>& quarantined);
-
-std::unique_ptr<protocol::EngineCrashT> ToWire(const EngineCrash& crash, absl::Time now);
-EngineCrash FromWire(const protocol::EngineCrashT& wire, absl::Time now);
-std::vector<std::unique_ptr<protocol::QuarantinedPromptT>> ToWire(
-    const PromptQuarantine& quarantine, absl::Time now);
-QuarantinedPrompt FromWire(const protocol::QuarantinedPromptT& wire, absl::Time now);
+/// Logs a crash under a request, and the quarantine that begins because of it.
+void LogCrash(const Logger& logger, const ServerCrash& crash,
+              const std::optional<QuarantinedTraits>& quarantined);
+
+std::unique_ptr<protocol::ServerCrashT> ToWire(const ServerCrash& crash, absl::Time now);
+ServerCrash FromWire(const protocol::ServerCrashT& wire, absl::Time now);
+std::vector<std::unique_ptr<protocol::QuarantinedTraitsT>> ToWire(
+    const RequestQuarantine& quarantine, absl::Time now);
+QuarantinedTraits FromWire(const protocol::QuarantinedTraitsT& wire, absl::Time now);
 std::unique_ptr<protocol::ServerDepartureT> ToWire(const ServerDeparture& departure);
 ServerDeparture FromWire(const protocol::ServerDepartureT& wire);
 std::unique_ptr<protocol::BackendEntryT> ToWire(const Replica& replica, absl::Time now);
--- a/packages/protocol/include/marigoldquay/protocol/inner_generated.h
+++ b/packages/protocol/include/marigoldquay/protocol/inner_generated.h
@@ -160,13 +160,17 @@
 struct RequestLimitBuilder;
 struct RequestLimitT;
 
-struct EngineCrash;
-struct EngineCrashBuilder;
-struct EngineCrashT;
+struct ServerCrash;
+struct ServerCrashBuilder;
+struct ServerCrashT;
 
-struct QuarantinedPrompt;
-struct QuarantinedPromptBuilder;
-struct QuarantinedPromptT;
+struct ServedRequest;
+struct ServedRequestBuilder;
+struct ServedRequestT;
+
+struct QuarantinedTraits;
+struct QuarantinedTraitsBuilder;
+struct QuarantinedTraitsT;
 
 struct FleetReport;
 struct FleetReportBuilder;
@@ -268,10 +272,12 @@
 bool operator!=(const AccountTokensT &lhs, const AccountTokensT &rhs);
 bool operator==(const RequestLimitT &lhs, const RequestLimitT &rhs);
 bool operator!=(const RequestLimitT &lhs, const RequestLimitT &rhs);
-bool operator==(const EngineCrashT &lhs, const EngineCrashT &rhs);
-bool operator!=(const EngineCrashT &lhs, const EngineCrashT &rhs);
-bool operator==(const QuarantinedPromptT &lhs, const QuarantinedPromptT &rhs);
-bool operator!=(const QuarantinedPromptT &lhs, const QuarantinedPromptT &rhs);
+bool operator==(const ServerCrashT &lhs, const ServerCrashT &rhs);
+bool operator!=(const ServerCrashT &lhs, const ServerCrashT &rhs);
+bool operator==(const ServedRequestT &lhs, const ServedRequestT &rhs);
+bool operator!=(const ServedRequestT &lhs, const ServedRequestT &rhs);
+bool operator==(const QuarantinedTraitsT &lhs, const QuarantinedTraitsT &rhs);
+bool operator!=(const QuarantinedTraitsT &lhs, const QuarantinedTraitsT &rhs);
 bool operator==(const FleetReportT &lhs, const FleetReportT &rhs);
 bool operator!=(const FleetReportT &lhs, const FleetReportT &rhs);
 bool operator==(const ServerDepartureT &lhs, const ServerDepartureT &rhs);
@@ -4928,30 +4934,32 @@
 
 flatbuffers::Offset<RequestLimit> CreateRequestLimit(flatbuffers::FlatBufferBuilder &_fbb, const RequestLimitT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct EngineCrashT : public flatbuffers::NativeTable {
-  typedef EngineCrash TableType;
+struct ServerCrashT : public flatbuffers::NativeTable {
+  typedef ServerCrash TableType;
   static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
-    return "marigoldquay.protocol.EngineCrashT";
+    return "marigoldquay.protocol.ServerCrashT";
   }
-  std::string engine{};
+  std::string server{};
   std::vector<uint64_t> parts{};
   int64_t age_ms = 0;
+  uint64_t request = 0;
 };
 
-struct EngineCrash FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef EngineCrashT NativeTableType;
-  typedef EngineCrashBuilder Builder;
+struct ServerCrash FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ServerCrashT NativeTableType;
+  typedef ServerCrashBuilder Builder;
   struct Traits;
   static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
-    return "marigoldquay.protocol.EngineCrash";
+    return "marigoldquay.protocol.ServerCrash";
   }
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_ENGINE = 4,
+    VT_SERVER = 4,
     VT_PARTS = 6,
-    VT_AGE_MS = 8
+    VT_AGE_MS = 8,
+    VT_REQUEST = 10
   };
-  const flatbuffers::String *engine() const {
-    return GetPointer<const flatbuffers::String *>(VT_ENGINE);
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
   }
   const flatbuffers::Vector<uint64_t> *parts() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_PARTS);
@@ -4959,164 +4967,250 @@
   int64_t age_ms() const {
     return GetField<int64_t>(VT_AGE_MS, 0);
   }
+  uint64_t request() const {
+    return GetField<uint64_t>(VT_REQUEST, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffsetRequired(verifier, VT_ENGINE) &&
-           verifier.VerifyString(engine()) &&
+           VerifyOffsetRequired(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
            VerifyOffset(verifier, VT_PARTS) &&
            verifier.VerifyVector(parts()) &&
            VerifyField<int64_t>(verifier, VT_AGE_MS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
            verifier.EndTable();
   }
-  EngineCrashT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(EngineCrashT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<EngineCrash> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineCrashT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  ServerCrashT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ServerCrashT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ServerCrash> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServerCrashT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct EngineCrashBuilder {
-  typedef EngineCrash Table;
+struct ServerCrashBuilder {
+  typedef ServerCrash Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_engine(flatbuffers::Offset<flatbuffers::String> engine) {
-    fbb_.AddOffset(EngineCrash::VT_ENGINE, engine);
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(ServerCrash::VT_SERVER, server);
   }
   void add_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts) {
-    fbb_.AddOffset(EngineCrash::VT_PARTS, parts);
+    fbb_.AddOffset(ServerCrash::VT_PARTS, parts);
   }
   void add_age_ms(int64_t age_ms) {
-    fbb_.AddElement<int64_t>(EngineCrash::VT_AGE_MS, age_ms, 0);
+    fbb_.AddElement<int64_t>(ServerCrash::VT_AGE_MS, age_ms, 0);
   }
-  explicit EngineCrashBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  void add_request(uint64_t request) {
+    fbb_.AddElement<uint64_t>(ServerCrash::VT_REQUEST, request, 0);
+  }
+  explicit ServerCrashBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<EngineCrash> Finish() {
+  flatbuffers::Offset<ServerCrash> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<EngineCrash>(end);
-    fbb_.Required(o, EngineCrash::VT_ENGINE);
+    auto o = flatbuffers::Offset<ServerCrash>(end);
+    fbb_.Required(o, ServerCrash::VT_SERVER);
     return o;
   }
 };
 
-inline flatbuffers::Offset<EngineCrash> CreateEngineCrash(
+inline flatbuffers::Offset<ServerCrash> CreateServerCrash(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> engine = 0,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0,
-    int64_t age_ms = 0) {
-  EngineCrashBuilder builder_(_fbb);
+    int64_t age_ms = 0,
+    uint64_t request = 0) {
+  ServerCrashBuilder builder_(_fbb);
+  builder_.add_request(request);
   builder_.add_age_ms(age_ms);
   builder_.add_parts(parts);
-  builder_.add_engine(engine);
+  builder_.add_server(server);
   return builder_.Finish();
 }
 
-struct EngineCrash::Traits {
-  using type = EngineCrash;
-  static auto constexpr Create = CreateEngineCrash;
+struct ServerCrash::Traits {
+  using type = ServerCrash;
+  static auto constexpr Create = CreateServerCrash;
 };
 
-inline flatbuffers::Offset<EngineCrash> CreateEngineCrashDirect(
+inline flatbuffers::Offset<ServerCrash> CreateServerCrashDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const char *engine = nullptr,
+    const char *server = nullptr,
     const std::vector<uint64_t> *parts = nullptr,
-    int64_t age_ms = 0) {
-  auto engine__ = engine ? _fbb.CreateString(engine) : 0;
+    int64_t age_ms = 0,
+    uint64_t request = 0) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
   auto parts__ = parts ? _fbb.CreateVector<uint64_t>(*parts) : 0;
-  return marigoldquay::protocol::CreateEngineCrash(
+  return marigoldquay::protocol::CreateServerCrash(
       _fbb,
-      engine__,
+      server__,
       parts__,
-      age_ms);
+      age_ms,
+      request);
 }
 
-flatbuffers::Offset<EngineCrash> CreateEngineCrash(flatbuffers::FlatBufferBuilder &_fbb, const EngineCrashT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<ServerCrash> CreateServerCrash(flatbuffers::FlatBufferBuilder &_fbb, const ServerCrashT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct QuarantinedPromptT : public flatbuffers::NativeTable {
-  typedef QuarantinedPrompt TableType;
+struct ServedRequestT : public flatbuffers::NativeTable {
+  typedef ServedRequest TableType;
   static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
-    return "marigoldquay.protocol.QuarantinedPromptT";
+    return "marigoldquay.protocol.ServedRequestT";
   }
-  std::vector<uint64_t> parts{};
+  uint64_t request = 0;
+  uint32_t age_ms = 0;
+};
+
+struct ServedRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ServedRequestT NativeTableType;
+  typedef ServedRequestBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "marigoldquay.protocol.ServedRequest";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REQUEST = 4,
+    VT_AGE_MS = 6
+  };
+  uint64_t request() const {
+    return GetField<uint64_t>(VT_REQUEST, 0);
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           verifier.EndTable();
+  }
+  ServedRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ServedRequestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ServedRequest> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServedRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ServedRequestBuilder {
+  typedef ServedRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_request(uint64_t request) {
+    fbb_.AddElement<uint64_t>(ServedRequest::VT_REQUEST, request, 0);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(ServedRequest::VT_AGE_MS, age_ms, 0);
+  }
+  explicit ServedRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ServedRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ServedRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ServedRequest> CreateServedRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request = 0,
+    uint32_t age_ms = 0) {
+  ServedRequestBuilder builder_(_fbb);
+  builder_.add_request(request);
+  builder_.add_age_ms(age_ms);
+  return builder_.Finish();
+}
+
+struct ServedRequest::Traits {
+  using type = ServedRequest;
+  static auto constexpr Create = CreateServedRequest;
+};
+
+flatbuffers::Offset<ServedRequest> CreateServedRequest(flatbuffers::FlatBufferBuilder &_fbb, const ServedRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct QuarantinedTraitsT : public flatbuffers::NativeTable {
+  typedef QuarantinedTraits TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "marigoldquay.protocol.QuarantinedTraitsT";
+  }
+  std::vector<uint64_t> traits{};
   uint32_t left_ms = 0;
 };
 
-struct QuarantinedPrompt FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef QuarantinedPromptT NativeTableType;
-  typedef QuarantinedPromptBuilder Builder;
+struct QuarantinedTraits FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuarantinedTraitsT NativeTableType;
+  typedef QuarantinedTraitsBuilder Builder;
   struct Traits;
   static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
-    return "marigoldquay.protocol.QuarantinedPrompt";
+    return "marigoldquay.protocol.QuarantinedTraits";
   }
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_PARTS = 4,
+    VT_TRAITS = 4,
     VT_LEFT_MS = 6
   };
-  const flatbuffers::Vector<uint64_t> *parts() const {
-    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_PARTS);
+  const flatbuffers::Vector<uint64_t> *traits() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_TRAITS);
   }
   uint32_t left_ms() const {
     return GetField<uint32_t>(VT_LEFT_MS, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_PARTS) &&
-           verifier.VerifyVector(parts()) &&
+           VerifyOffset(verifier, VT_TRAITS) &&
+           verifier.VerifyVector(traits()) &&
            VerifyField<uint32_t>(verifier, VT_LEFT_MS, 4) &&
            verifier.EndTable();
   }
-  QuarantinedPromptT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(QuarantinedPromptT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<QuarantinedPrompt> Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuarantinedPromptT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  QuarantinedTraitsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(QuarantinedTraitsT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<QuarantinedTraits> Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuarantinedTraitsT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct QuarantinedPromptBuilder {
-  typedef QuarantinedPrompt Table;
+struct QuarantinedTraitsBuilder {
+  typedef QuarantinedTraits Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts) {
-    fbb_.AddOffset(QuarantinedPrompt::VT_PARTS, parts);
+  void add_traits(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> traits) {
+    fbb_.AddOffset(QuarantinedTraits::VT_TRAITS, traits);
   }
   void add_left_ms(uint32_t left_ms) {
-    fbb_.AddElement<uint32_t>(QuarantinedPrompt::VT_LEFT_MS, left_ms, 0);
+    fbb_.AddElement<uint32_t>(QuarantinedTraits::VT_LEFT_MS, left_ms, 0);
   }
-  explicit QuarantinedPromptBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  explicit QuarantinedTraitsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<QuarantinedPrompt> Finish() {
+  flatbuffers::Offset<QuarantinedTraits> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<QuarantinedPrompt>(end);
+    auto o = flatbuffers::Offset<QuarantinedTraits>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<QuarantinedPrompt> CreateQuarantinedPrompt(
+inline flatbuffers::Offset<QuarantinedTraits> CreateQuarantinedTraits(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> traits = 0,
     uint32_t left_ms = 0) {
-  QuarantinedPromptBuilder builder_(_fbb);
+  QuarantinedTraitsBuilder builder_(_fbb);
   builder_.add_left_ms(left_ms);
-  builder_.add_parts(parts);
+  builder_.add_traits(traits);
   return builder_.Finish();
 }
 
-struct QuarantinedPrompt::Traits {
-  using type = QuarantinedPrompt;
-  static auto constexpr Create = CreateQuarantinedPrompt;
+struct QuarantinedTraits::Traits {
+  using type = QuarantinedTraits;
+  static auto constexpr Create = CreateQuarantinedTraits;
 };
 
-inline flatbuffers::Offset<QuarantinedPrompt> CreateQuarantinedPromptDirect(
+inline flatbuffers::Offset<QuarantinedTraits> CreateQuarantinedTraitsDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<uint64_t> *parts = nullptr,
+    const std::vector<uint64_t> *traits = nullptr,
     uint32_t left_ms = 0) {
-  auto parts__ = parts ? _fbb.CreateVector<uint64_t>(*parts) : 0;
-  return marigoldquay::protocol::CreateQuarantinedPrompt(
+  auto traits__ = traits ? _fbb.CreateVector<uint64_t>(*traits) : 0;
+  return marigoldquay::protocol::CreateQuarantinedTraits(
       _fbb,
-      parts__,
+      traits__,
       left_ms);
 }
 
-flatbuffers::Offset<QuarantinedPrompt> CreateQuarantinedPrompt(flatbuffers::FlatBufferBuilder &_fbb, const QuarantinedPromptT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<QuarantinedTraits> CreateQuarantinedTraits(flatbuffers::FlatBufferBuilder &_fbb, const QuarantinedTraitsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct FleetReportT : public flatbuffers::NativeTable {
   typedef FleetReport TableType;
@@ -5132,13 +5226,14 @@
   uint64_t catalog_version = 0;
   bool needs_servers = false;
   std::vector<std::unique_ptr<marigoldquay::protocol::RequestLimitT>> request_limits{};
-  std::vector<std::unique_ptr<marigoldquay::protocol::EngineCrashT>> crashes{};
-  std::vector<std::unique_ptr<marigoldquay::protocol::QuarantinedPromptT>> quarantined{};
+  std::vector<std::unique_ptr<marigoldquay::protocol::ServerCrashT>> crashes{};
+  std::vector<std::unique_ptr<marigoldquay::protocol::QuarantinedTraitsT>> quarantined{};
   uint64_t store_era = 0;
   int64_t state_sent_ms = 0;
   uint32_t state_held_ms = 0;
   std::vector<uint8_t> catalog{};
   std::vector<std::unique_ptr<marigoldquay::protocol::ServerDepartureT>> departures{};
+  std::vector<std::unique_ptr<marigoldquay::protocol::ServedRequestT>> served{};
   FleetReportT() = default;
   FleetReportT(const FleetReportT &o);
   FleetReportT(FleetReportT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -5168,7 +5263,8 @@
     VT_STATE_SENT_MS = 28,
     VT_STATE_HELD_MS = 30,
     VT_CATALOG = 32,
-    VT_DEPARTURES = 34
+    VT_DEPARTURES = 34,
+    VT_SERVED = 36
   };
   const marigoldquay::protocol::FleetMember *sender() const {
     return GetPointer<const marigoldquay::protocol::FleetMember *>(VT_SENDER);
@@ -5197,11 +5293,11 @@
   const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::RequestLimit>> *request_limits() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::RequestLimit>> *>(VT_REQUEST_LIMITS);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::EngineCrash>> *crashes() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::EngineCrash>> *>(VT_CRASHES);
+  const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::ServerCrash>> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::ServerCrash>> *>(VT_CRASHES);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>> *quarantined() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>> *>(VT_QUARANTINED);
+  const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedTraits>> *quarantined() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedTraits>> *>(VT_QUARANTINED);
   }
   uint64_t store_era() const {
     return GetField<uint64_t>(VT_STORE_ERA, 0);
@@ -5218,6 +5314,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::ServerDeparture>> *departures() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::ServerDeparture>> *>(VT_DEPARTURES);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::ServedRequest>> *served() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::ServedRequest>> *>(VT_SERVED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_SENDER) &&
@@ -5252,6 +5351,9 @@
            VerifyOffset(verifier, VT_DEPARTURES) &&
            verifier.VerifyVector(departures()) &&
            verifier.VerifyVectorOfTables(departures()) &&
+           VerifyOffset(verifier, VT_SERVED) &&
+           verifier.VerifyVector(served()) &&
+           verifier.VerifyVectorOfTables(served()) &&
            verifier.EndTable();
   }
   FleetReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5290,10 +5392,10 @@
   void add_request_limits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::RequestLimit>>> request_limits) {
     fbb_.AddOffset(FleetReport::VT_REQUEST_LIMITS, request_limits);
   }
-  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::EngineCrash>>> crashes) {
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::ServerCrash>>> crashes) {
     fbb_.AddOffset(FleetReport::VT_CRASHES, crashes);
   }
-  void add_quarantined(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>>> quarantined) {
+  void add_quarantined(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedTraits>>> quarantined) {
     fbb_.AddOffset(FleetReport::VT_QUARANTINED, quarantined);
   }
   void add_store_era(uint64_t store_era) {
@@ -5311,6 +5413,9 @@
   void add_departures(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::ServerDeparture>>> departures) {
     fbb_.AddOffset(FleetReport::VT_DEPARTURES, departures);
   }
+  void add_served(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::ServedRequest>>> served) {
+    fbb_.AddOffset(FleetReport::VT_SERVED, served);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5334,17 +5439,19 @@
     uint64_t catalog_version = 0,
     bool needs_servers = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::RequestLimit>>> request_limits = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::EngineCrash>>> crashes = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>>> quarantined = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::ServerCrash>>> crashes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedTraits>>> quarantined = 0,
     uint64_t store_era = 0,
     int64_t state_sent_ms = 0,
     uint32_t state_held_ms = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> catalog = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::ServerDeparture>>> departures = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::ServerDeparture>>> departures = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::ServedRequest>>> served = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_state_sent_ms(state_sent_ms);
   builder_.add_store_era(store_era);
   builder_.add_catalog_version(catalog_version);
+  builder_.add_served(served);
   builder_.add_departures(departures);
   builder_.add_catalog(catalog);
   builder_.add_state_held_ms(state_held_ms);
@@ -5377,21 +5484,23 @@
     uint64_t catalog_version = 0,
     bool needs_servers = false,
     const std::vector<flatbuffers::Offset<marigoldquay::protocol::RequestLimit>> *request_limits = nullptr,
-    const std::vector<flatbuffers::Offset<marigoldquay::protocol::EngineCrash>> *crashes = nullptr,
-    const std::vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>> *quarantined = nullptr,
+    const std::vector<flatbuffers::Offset<marigoldquay::protocol::ServerCrash>> *crashes = nullptr,
+    const std::vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedTraits>> *quarantined = nullptr,
     uint64_t store_era = 0,
     int64_t state_sent_ms = 0,
     uint32_t state_held_ms = 0,
     const std::vector<uint8_t> *catalog = nullptr,
-    const std::vector<flatbuffers::Offset<marigoldquay::protocol::ServerDeparture>> *departures = nullptr) {
+    const std::vector<flatbuffers::Offset<marigoldquay::protocol::ServerDeparture>> *departures = nullptr,
+    const std::vector<flatbuffers::Offset<marigoldquay::protocol::ServedRequest>> *served = nullptr) {
   auto spent__ = spent ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::AccountTokens>>(*spent) : 0;
   auto levels__ = levels ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::AccountTokens>>(*levels) : 0;
   auto leaving_servers__ = leaving_servers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*leaving_servers) : 0;
   auto request_limits__ = request_limits ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::RequestLimit>>(*request_limits) : 0;
-  auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::EngineCrash>>(*crashes) : 0;
-  auto quarantined__ = quarantined ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>>(*quarantined) : 0;
+  auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::ServerCrash>>(*crashes) : 0;
+  auto quarantined__ = quarantined ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedTraits>>(*quarantined) : 0;
   auto catalog__ = catalog ? _fbb.CreateVector<uint8_t>(*catalog) : 0;
   auto departures__ = departures ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::ServerDeparture>>(*departures) : 0;
+  auto served__ = served ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::ServedRequest>>(*served) : 0;
   return marigoldquay::protocol::CreateFleetReport(
       _fbb,
       sender,
@@ -5409,7 +5518,8 @@
       state_sent_ms,
       state_held_ms,
       catalog__,
-      departures__);
+      departures__,
+      served__);
 }
 
 flatbuffers::Offset<FleetReport> CreateFleetReport(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5749,10 +5859,11 @@
   bool whole_servers = false;
   std::vector<std::string> removed_members{};
   std::vector<uint8_t> catalog{};
-  std::vector<std::unique_ptr<marigoldquay::protocol::QuarantinedPromptT>> quarantined{};
+  std::vector<std::unique_ptr<marigoldquay::protocol::QuarantinedTraitsT>> quarantined{};
   uint64_t store_era = 0;
   int64_t sent_ms = 0;
   std::string catalog_source{};
+  std::vector<uint64_t> suspected_requests{};
   FleetStateT() = default;
   FleetStateT(const FleetStateT &o);
   FleetStateT(FleetStateT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -5783,7 +5894,8 @@
     VT_QUARANTINED = 30,
     VT_STORE_ERA = 32,
     VT_SENT_MS = 34,
-    VT_CATALOG_SOURCE = 36
+    VT_CATALOG_SOURCE = 36,
+    VT_SUSPECTED_REQUESTS = 38
   };
   const marigoldquay::protocol::FleetMember *coordinator() const {
     return GetPointer<const marigoldquay::protocol::FleetMember *>(VT_COORDINATOR);
@@ -5824,8 +5936,8 @@
   const flatbuffers::Vector<uint8_t> *catalog() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_CATALOG);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>> *quarantined() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>> *>(VT_QUARANTINED);
+  const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedTraits>> *quarantined() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedTraits>> *>(VT_QUARANTINED);
   }
   uint64_t store_era() const {
     return GetField<uint64_t>(VT_STORE_ERA, 0);
@@ -5836,6 +5948,9 @@
   const flatbuffers::String *catalog_source() const {
     return GetPointer<const flatbuffers::String *>(VT_CATALOG_SOURCE);
   }
+  const flatbuffers::Vector<uint64_t> *suspected_requests() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_SUSPECTED_REQUESTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_COORDINATOR) &&
@@ -5870,6 +5985,8 @@
            VerifyField<int64_t>(verifier, VT_SENT_MS, 8) &&
            VerifyOffset(verifier, VT_CATALOG_SOURCE) &&
            verifier.VerifyString(catalog_source()) &&
+           VerifyOffset(verifier, VT_SUSPECTED_REQUESTS) &&
+           verifier.VerifyVector(suspected_requests()) &&
            verifier.EndTable();
   }
   FleetStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5920,7 +6037,7 @@
   void add_catalog(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> catalog) {
     fbb_.AddOffset(FleetState::VT_CATALOG, catalog);
   }
-  void add_quarantined(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>>> quarantined) {
+  void add_quarantined(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedTraits>>> quarantined) {
     fbb_.AddOffset(FleetState::VT_QUARANTINED, quarantined);
   }
   void add_store_era(uint64_t store_era) {
@@ -5932,6 +6049,9 @@
   void add_catalog_source(flatbuffers::Offset<flatbuffers::String> catalog_source) {
     fbb_.AddOffset(FleetState::VT_CATALOG_SOURCE, catalog_source);
   }
+  void add_suspected_requests(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> suspected_requests) {
+    fbb_.AddOffset(FleetState::VT_SUSPECTED_REQUESTS, suspected_requests);
+  }
   explicit FleetStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5959,14 +6079,16 @@
     bool whole_servers = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> removed_members = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> catalog = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>>> quarantined = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedTraits>>> quarantined = 0,
     uint64_t store_era = 0,
     int64_t sent_ms = 0,
-    flatbuffers::Offset<flatbuffers::String> catalog_source = 0) {
+    flatbuffers::Offset<flatbuffers::String> catalog_source = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> suspected_requests = 0) {
   FleetStateBuilder builder_(_fbb);
   builder_.add_sent_ms(sent_ms);
   builder_.add_store_era(store_era);
   builder_.add_catalog_version(catalog_version);
+  builder_.add_suspected_requests(suspected_requests);
   builder_.add_catalog_source(catalog_source);
   builder_.add_quarantined(quarantined);
   builder_.add_catalog(catalog);
@@ -6004,18 +6126,20 @@
     bool whole_servers = false,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *removed_members = nullptr,
     const std::vector<uint8_t> *catalog = nullptr,
-    const std::vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>> *quarantined = nullptr,
+    const std::vector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedTraits>> *quarantined = nullptr,
     uint64_t store_era = 0,
     int64_t sent_ms = 0,
-    const char *catalog_source = nullptr) {
+    const char *catalog_source = nullptr,
+    const std::vector<uint64_t> *suspected_requests = nullptr) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::FleetMember>>(*members) : 0;
   auto balances__ = balances ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::AccountTokens>>(*balances) : 0;
   auto backend_servers__ = backend_servers ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::BackendEntry>>(*backend_servers) : 0;
   auto removed_servers__ = removed_servers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*removed_servers) : 0;
   auto removed_members__ = removed_members ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*removed_members) : 0;
   auto catalog__ = catalog ? _fbb.CreateVector<uint8_t>(*catalog) : 0;
-  auto quarantined__ = quarantined ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>>(*quarantined) : 0;
+  auto quarantined__ = quarantined ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedTraits>>(*quarantined) : 0;
   auto catalog_source__ = catalog_source ? _fbb.CreateString(catalog_source) : 0;
+  auto suspected_requests__ = suspected_requests ? _fbb.CreateVector<uint64_t>(*suspected_requests) : 0;
   return marigoldquay::protocol::CreateFleetState(
       _fbb,
       coordinator,
@@ -6034,7 +6158,8 @@
       quarantined__,
       store_era,
       sent_ms,
-      catalog_source__);
+      catalog_source__,
+      suspected_requests__);
 }
 
 flatbuffers::Offset<FleetState> CreateFleetState(flatbuffers::FlatBufferBuilder &_fbb, const FleetStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -8657,88 +8782,133 @@
 }
 
 
-inline bool operator==(const EngineCrashT &lhs, const EngineCrashT &rhs) {
+inline bool operator==(const ServerCrashT &lhs, const ServerCrashT &rhs) {
   return
-      (lhs.engine == rhs.engine) &&
+      (lhs.server == rhs.server) &&
       (lhs.parts == rhs.parts) &&
-      (lhs.age_ms == rhs.age_ms);
+      (lhs.age_ms == rhs.age_ms) &&
+      (lhs.request == rhs.request);
 }
 
-inline bool operator!=(const EngineCrashT &lhs, const EngineCrashT &rhs) {
+inline bool operator!=(const ServerCrashT &lhs, const ServerCrashT &rhs) {
     return !(lhs == rhs);
 }
 
 
-inline EngineCrashT *EngineCrash::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<EngineCrashT>();
+inline ServerCrashT *ServerCrash::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ServerCrashT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void EngineCrash::UnPackTo(EngineCrashT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void ServerCrash::UnPackTo(ServerCrashT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = engine(); if (_e) _o->engine = _e->str(); }
+  { auto _e = server(); if (_e) _o->server = _e->str(); }
   { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = _e->Get(_i); } } }
   { auto _e = age_ms(); _o->age_ms = _e; }
+  { auto _e = request(); _o->request = _e; }
 }
 
-inline flatbuffers::Offset<EngineCrash> EngineCrash::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineCrashT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateEngineCrash(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<ServerCrash> ServerCrash::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServerCrashT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateServerCrash(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<EngineCrash> CreateEngineCrash(flatbuffers::FlatBufferBuilder &_fbb, const EngineCrashT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<ServerCrash> CreateServerCrash(flatbuffers::FlatBufferBuilder &_fbb, const ServerCrashT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EngineCrashT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _engine = _fbb.CreateString(_o->engine);
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ServerCrashT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _server = _fbb.CreateString(_o->server);
   auto _parts = _o->parts.size() ? _fbb.CreateVector(_o->parts) : 0;
   auto _age_ms = _o->age_ms;
-  return marigoldquay::protocol::CreateEngineCrash(
+  auto _request = _o->request;
+  return marigoldquay::protocol::CreateServerCrash(
       _fbb,
-      _engine,
+      _server,
       _parts,
+      _age_ms,
+      _request);
+}
+
+
+inline bool operator==(const ServedRequestT &lhs, const ServedRequestT &rhs) {
+  return
+      (lhs.request == rhs.request) &&
+      (lhs.age_ms == rhs.age_ms);
+}
+
+inline bool operator!=(const ServedRequestT &lhs, const ServedRequestT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline ServedRequestT *ServedRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ServedRequestT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ServedRequest::UnPackTo(ServedRequestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = request(); _o->request = _e; }
+  { auto _e = age_ms(); _o->age_ms = _e; }
+}
+
+inline flatbuffers::Offset<ServedRequest> ServedRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServedRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateServedRequest(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ServedRequest> CreateServedRequest(flatbuffers::FlatBufferBuilder &_fbb, const ServedRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ServedRequestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _request = _o->request;
+  auto _age_ms = _o->age_ms;
+  return marigoldquay::protocol::CreateServedRequest(
+      _fbb,
+      _request,
       _age_ms);
 }
 
 
-inline bool operator==(const QuarantinedPromptT &lhs, const QuarantinedPromptT &rhs) {
+inline bool operator==(const QuarantinedTraitsT &lhs, const QuarantinedTraitsT &rhs) {
   return
-      (lhs.parts == rhs.parts) &&
+      (lhs.traits == rhs.traits) &&
       (lhs.left_ms == rhs.left_ms);
 }
 
-inline bool operator!=(const QuarantinedPromptT &lhs, const QuarantinedPromptT &rhs) {
+inline bool operator!=(const QuarantinedTraitsT &lhs, const QuarantinedTraitsT &rhs) {
     return !(lhs == rhs);
 }
 
 
-inline QuarantinedPromptT *QuarantinedPrompt::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<QuarantinedPromptT>();
+inline QuarantinedTraitsT *QuarantinedTraits::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<QuarantinedTraitsT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void QuarantinedPrompt::UnPackTo(QuarantinedPromptT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void QuarantinedTraits::UnPackTo(QuarantinedTraitsT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = _e->Get(_i); } } }
+  { auto _e = traits(); if (_e) { _o->traits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->traits[_i] = _e->Get(_i); } } }
   { auto _e = left_ms(); _o->left_ms = _e; }
 }
 
-inline flatbuffers::Offset<QuarantinedPrompt> QuarantinedPrompt::Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuarantinedPromptT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateQuarantinedPrompt(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<QuarantinedTraits> QuarantinedTraits::Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuarantinedTraitsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateQuarantinedTraits(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<QuarantinedPrompt> CreateQuarantinedPrompt(flatbuffers::FlatBufferBuilder &_fbb, const QuarantinedPromptT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<QuarantinedTraits> CreateQuarantinedTraits(flatbuffers::FlatBufferBuilder &_fbb, const QuarantinedTraitsT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const QuarantinedPromptT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _parts = _o->parts.size() ? _fbb.CreateVector(_o->parts) : 0;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const QuarantinedTraitsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _traits = _o->traits.size() ? _fbb.CreateVector(_o->traits) : 0;
   auto _left_ms = _o->left_ms;
-  return marigoldquay::protocol::CreateQuarantinedPrompt(
+  return marigoldquay::protocol::CreateQuarantinedTraits(
       _fbb,
-      _parts,
+      _traits,
       _left_ms);
 }
 
@@ -8754,13 +8924,14 @@
       (lhs.catalog_version == rhs.catalog_version) &&
       (lhs.needs_servers == rhs.needs_servers) &&
       (lhs.request_limits.size() == rhs.request_limits.size() && std::equal(lhs.request_limits.cbegin(), lhs.request_limits.cend(), rhs.request_limits.cbegin(), [](std::unique_ptr<marigoldquay::protocol::RequestLimitT> const &a, std::unique_ptr<marigoldquay::protocol::RequestLimitT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
-      (lhs.crashes.size() == rhs.crashes.size() && std::equal(lhs.crashes.cbegin(), lhs.crashes.cend(), rhs.crashes.cbegin(), [](std::unique_ptr<marigoldquay::protocol::EngineCrashT> const &a, std::unique_ptr<marigoldquay::protocol::EngineCrashT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
-      (lhs.quarantined.size() == rhs.quarantined.size() && std::equal(lhs.quarantined.cbegin(), lhs.quarantined.cend(), rhs.quarantined.cbegin(), [](std::unique_ptr<marigoldquay::protocol::QuarantinedPromptT> const &a, std::unique_ptr<marigoldquay::protocol::QuarantinedPromptT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
+      (lhs.crashes.size() == rhs.crashes.size() && std::equal(lhs.crashes.cbegin(), lhs.crashes.cend(), rhs.crashes.cbegin(), [](std::unique_ptr<marigoldquay::protocol::ServerCrashT> const &a, std::unique_ptr<marigoldquay::protocol::ServerCrashT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
+      (lhs.quarantined.size() == rhs.quarantined.size() && std::equal(lhs.quarantined.cbegin(), lhs.quarantined.cend(), rhs.quarantined.cbegin(), [](std::unique_ptr<marigoldquay::protocol::QuarantinedTraitsT> const &a, std::unique_ptr<marigoldquay::protocol::QuarantinedTraitsT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
       (lhs.store_era == rhs.store_era) &&
       (lhs.state_sent_ms == rhs.state_sent_ms) &&
       (lhs.state_held_ms == rhs.state_held_ms) &&
       (lhs.catalog == rhs.catalog) &&
-      (lhs.departures.size() == rhs.departures.size() && std::equal(lhs.departures.cbegin(), lhs.departures.cend(), rhs.departures.cbegin(), [](std::unique_ptr<marigoldquay::protocol::ServerDepartureT> const &a, std::unique_ptr<marigoldquay::protocol::ServerDepartureT> const &b) { return (a == b) || (a && b && *a == *b); }));
+      (lhs.departures.size() == rhs.departures.size() && std::equal(lhs.departures.cbegin(), lhs.departures.cend(), rhs.departures.cbegin(), [](std::unique_ptr<marigoldquay::protocol::ServerDepartureT> const &a, std::unique_ptr<marigoldquay::protocol::ServerDepartureT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
+      (lhs.served.size() == rhs.served.size() && std::equal(lhs.served.cbegin(), lhs.served.cend(), rhs.served.cbegin(), [](std::unique_ptr<marigoldquay::protocol::ServedRequestT> const &a, std::unique_ptr<marigoldquay::protocol::ServedRequestT> const &b) { return (a == b) || (a && b && *a == *b); }));
 }
 
 inline bool operator!=(const FleetReportT &lhs, const FleetReportT &rhs) {
@@ -8786,11 +8957,13 @@
   request_limits.reserve(o.request_limits.size());
   for (const auto &request_limits_ : o.request_limits) { request_limits.emplace_back((request_limits_) ? new marigoldquay::protocol::RequestLimitT(*request_limits_) : nullptr); }
   crashes.reserve(o.crashes.size());
-  for (const auto &crashes_ : o.crashes) { crashes.emplace_back((crashes_) ? new marigoldquay::protocol::EngineCrashT(*crashes_) : nullptr); }
+  for (const auto &crashes_ : o.crashes) { crashes.emplace_back((crashes_) ? new marigoldquay::protocol::ServerCrashT(*crashes_) : nullptr); }
   quarantined.reserve(o.quarantined.size());
-  for (const auto &quarantined_ : o.quarantined) { quarantined.emplace_back((quarantined_) ? new marigoldquay::protocol::QuarantinedPromptT(*quarantined_) : nullptr); }
+  for (const auto &quarantined_ : o.quarantined) { quarantined.emplace_back((quarantined_) ? new marigoldquay::protocol::QuarantinedTraitsT(*quarantined_) : nullptr); }
   departures.reserve(o.departures.size());
   for (const auto &departures_ : o.departures) { departures.emplace_back((departures_) ? new marigoldquay::protocol::ServerDepartureT(*departures_) : nullptr); }
+  served.reserve(o.served.size());
+  for (const auto &served_ : o.served) { served.emplace_back((served_) ? new marigoldquay::protocol::ServedRequestT(*served_) : nullptr); }
 }
 
 inline FleetReportT &FleetReportT::operator=(FleetReportT o) FLATBUFFERS_NOEXCEPT {
@@ -8810,6 +8983,7 @@
   std::swap(state_held_ms, o.state_held_ms);
   std::swap(catalog, o.catalog);
   std::swap(departures, o.departures);
+  std::swap(served, o.served);
   return *this;
 }
 
@@ -8831,13 +9005,14 @@
   { auto _e = catalog_version(); _o->catalog_version = _e; }
   { auto _e = needs_servers(); _o->needs_servers = _e; }
   { auto _e = request_limits(); if (_e) { _o->request_limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->request_limits[_i] = std::unique_ptr<marigoldquay::protocol::RequestLimitT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = std::unique_ptr<marigoldquay::protocol::EngineCrashT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = quarantined(); if (_e) { _o->quarantined.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->quarantined[_i] = std::unique_ptr<marigoldquay::protocol::QuarantinedPromptT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = std::unique_ptr<marigoldquay::protocol::ServerCrashT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = quarantined(); if (_e) { _o->quarantined.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->quarantined[_i] = std::unique_ptr<marigoldquay::protocol::QuarantinedTraitsT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = store_era(); _o->store_era = _e; }
   { auto _e = state_sent_ms(); _o->state_sent_ms = _e; }
   { auto _e = state_held_ms(); _o->state_held_ms = _e; }
   { auto _e = catalog(); if (_e) { _o->catalog.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->catalog.begin()); } }
   { auto _e = departures(); if (_e) { _o->departures.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->departures[_i] = std::unique_ptr<marigoldquay::protocol::ServerDepartureT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = served(); if (_e) { _o->served.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->served[_i] = std::unique_ptr<marigoldquay::protocol::ServedRequestT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<FleetReport> FleetReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8857,13 +9032,14 @@
   auto _catalog_version = _o->catalog_version;
   auto _needs_servers = _o->needs_servers;
   auto _request_limits = _o->request_limits.size() ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::RequestLimit>> (_o->request_limits.size(), [](size_t i, _VectorArgs *__va) { return CreateRequestLimit(*__va->__fbb, __va->__o->request_limits[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _crashes = _o->crashes.size() ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::EngineCrash>> (_o->crashes.size(), [](size_t i, _VectorArgs *__va) { return CreateEngineCrash(*__va->__fbb, __va->__o->crashes[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _quarantined = _o->quarantined.size() ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>> (_o->quarantined.size(), [](size_t i, _VectorArgs *__va) { return CreateQuarantinedPrompt(*__va->__fbb, __va->__o->quarantined[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _crashes = _o->crashes.size() ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::ServerCrash>> (_o->crashes.size(), [](size_t i, _VectorArgs *__va) { return CreateServerCrash(*__va->__fbb, __va->__o->crashes[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _quarantined = _o->quarantined.size() ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedTraits>> (_o->quarantined.size(), [](size_t i, _VectorArgs *__va) { return CreateQuarantinedTraits(*__va->__fbb, __va->__o->quarantined[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _store_era = _o->store_era;
   auto _state_sent_ms = _o->state_sent_ms;
   auto _state_held_ms = _o->state_held_ms;
   auto _catalog = _o->catalog.size() ? _fbb.CreateVector(_o->catalog) : 0;
   auto _departures = _o->departures.size() ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::ServerDeparture>> (_o->departures.size(), [](size_t i, _VectorArgs *__va) { return CreateServerDeparture(*__va->__fbb, __va->__o->departures[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _served = _o->served.size() ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::ServedRequest>> (_o->served.size(), [](size_t i, _VectorArgs *__va) { return CreateServedRequest(*__va->__fbb, __va->__o->served[i].get(), __va->__rehasher); }, &_va ) : 0;
   return marigoldquay::protocol::CreateFleetReport(
       _fbb,
       _sender,
@@ -8881,7 +9057,8 @@
       _state_sent_ms,
       _state_held_ms,
       _catalog,
-      _departures);
+      _departures,
+      _served);
 }
 
 
@@ -9049,10 +9226,11 @@
       (lhs.whole_servers == rhs.whole_servers) &&
       (lhs.removed_members == rhs.removed_members) &&
       (lhs.catalog == rhs.catalog) &&
-      (lhs.quarantined.size() == rhs.quarantined.size() && std::equal(lhs.quarantined.cbegin(), lhs.quarantined.cend(), rhs.quarantined.cbegin(), [](std::unique_ptr<marigoldquay::protocol::QuarantinedPromptT> const &a, std::unique_ptr<marigoldquay::protocol::QuarantinedPromptT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
+      (lhs.quarantined.size() == rhs.quarantined.size() && std::equal(lhs.quarantined.cbegin(), lhs.quarantined.cend(), rhs.quarantined.cbegin(), [](std::unique_ptr<marigoldquay::protocol::QuarantinedTraitsT> const &a, std::unique_ptr<marigoldquay::protocol::QuarantinedTraitsT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
       (lhs.store_era == rhs.store_era) &&
       (lhs.sent_ms == rhs.sent_ms) &&
-      (lhs.catalog_source == rhs.catalog_source);
+      (lhs.catalog_source == rhs.catalog_source) &&
+      (lhs.suspected_requests == rhs.suspected_requests);
 }
 
 inline bool operator!=(const FleetStateT &lhs, const FleetStateT &rhs) {
@@ -9073,7 +9251,8 @@
         catalog(o.catalog),
         store_era(o.store_era),
         sent_ms(o.sent_ms),
-        catalog_source(o.catalog_source) {
+        catalog_source(o.catalog_source),
+        suspected_requests(o.suspected_requests) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new marigoldquay::protocol::FleetMemberT(*members_) : nullptr); }
   balances.reserve(o.balances.size());
@@ -9081,7 +9260,7 @@
   backend_servers.reserve(o.backend_servers.size());
   for (const auto &backend_servers_ : o.backend_servers) { backend_servers.emplace_back((backend_servers_) ? new marigoldquay::protocol::BackendEntryT(*backend_servers_) : nullptr); }
   quarantined.reserve(o.quarantined.size());
-  for (const auto &quarantined_ : o.quarantined) { quarantined.emplace_back((quarantined_) ? new marigoldquay::protocol::QuarantinedPromptT(*quarantined_) : nullptr); }
+  for (const auto &quarantined_ : o.quarantined) { quarantined.emplace_back((quarantined_) ? new marigoldquay::protocol::QuarantinedTraitsT(*quarantined_) : nullptr); }
 }
 
 inline FleetStateT &FleetStateT::operator=(FleetStateT o) FLATBUFFERS_NOEXCEPT {
@@ -9102,6 +9281,7 @@
   std::swap(store_era, o.store_era);
   std::swap(sent_ms, o.sent_ms);
   std::swap(catalog_source, o.catalog_source);
+  std::swap(suspected_requests, o.suspected_requests);
   return *this;
 }
 
@@ -9127,10 +9307,11 @@
   { auto _e = whole_servers(); _o->whole_servers = _e; }
   { auto _e = removed_members(); if (_e) { _o->removed_members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->removed_members[_i] = _e->Get(_i)->str(); } } }
   { auto _e = catalog(); if (_e) { _o->catalog.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->catalog.begin()); } }
-  { auto _e = quarantined(); if (_e) { _o->quarantined.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->quarantined[_i] = std::unique_ptr<marigoldquay::protocol::QuarantinedPromptT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = quarantined(); if (_e) { _o->quarantined.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->quarantined[_i] = std::unique_ptr<marigoldquay::protocol::QuarantinedTraitsT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = store_era(); _o->store_era = _e; }
   { auto _e = sent_ms(); _o->sent_ms = _e; }
   { auto _e = catalog_source(); if (_e) _o->catalog_source = _e->str(); }
+  { auto _e = suspected_requests(); if (_e) { _o->suspected_requests.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->suspected_requests[_i] = _e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<FleetState> FleetState::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FleetStateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -9154,10 +9335,11 @@
   auto _whole_servers = _o->whole_servers;
   auto _removed_members = _o->removed_members.size() ? _fbb.CreateVectorOfStrings(_o->removed_members) : 0;
   auto _catalog = _o->catalog.size() ? _fbb.CreateVector(_o->catalog) : 0;
-  auto _quarantined = _o->quarantined.size() ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedPrompt>> (_o->quarantined.size(), [](size_t i, _VectorArgs *__va) { return CreateQuarantinedPrompt(*__va->__fbb, __va->__o->quarantined[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _quarantined = _o->quarantined.size() ? _fbb.CreateVector<flatbuffers::Offset<marigoldquay::protocol::QuarantinedTraits>> (_o->quarantined.size(), [](size_t i, _VectorArgs *__va) { return CreateQuarantinedTraits(*__va->__fbb, __va->__o->quarantined[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _store_era = _o->store_era;
   auto _sent_ms = _o->sent_ms;
   auto _catalog_source = _o->catalog_source.empty() ? 0 : _fbb.CreateString(_o->catalog_source);
+  auto _suspected_requests = _o->suspected_requests.size() ? _fbb.CreateVector(_o->suspected_requests) : 0;
   return marigoldquay::protocol::CreateFleetState(
       _fbb,
       _coordinator,
@@ -9176,7 +9358,8 @@
       _quarantined,
       _store_era,
       _sent_ms,
-      _catalog_source);
+      _catalog_source,
+      _suspected_requests);
 }
 
 
--- a/packages/relay/include/marigoldquay/relay/front_handler.h
+++ b/packages/relay/include/marigoldquay/relay/front_handler.h
@@ -50,6 +50,7 @@
   ReplicaBalancer& balancer;
   RetryBudgets& budgets;
   StreamPlacer& placer;
+  CrashGuard& crash_guard;
   QuotaGate& quota;
   /// Number of VMs that share the connection limit of a backend server.
   std::function<std::size_t()> member_count;
--- a/packages/relay/include/marigoldquay/relay/stream_placer.h
+++ b/packages/relay/include/marigoldquay/relay/stream_placer.h
@@ -1,5 +1,5 @@
-// Interfaces through which the relay reserves engines for model requests and
-// charges the quota of workspaces.
+// Interfaces through which the relay reserves engines for model requests, charges
+// the quota of workspaces and reports crashes of backend servers.
 #ifndef MARIGOLDQUAY_RELAY_STREAM_PLACER_H_
 #define MARIGOLDQUAY_RELAY_STREAM_PLACER_H_
 
@@ -10,8 +10,8 @@
 
 #include "absl/time/time.h"
 #include "marigoldquay/core/types.h"
-#include "marigoldquay/dispatch/prompt_quarantine.h"
 #include "marigoldquay/dispatch/quota_ledger.h"
+#include "marigoldquay/dispatch/request_quarantine.h"
 #include "marigoldquay/dispatch/stream_scheduler.h"
 #include "marigoldquay/net/async.h"
 #include "marigoldquay/net/cancellation.h"
@@ -63,12 +63,24 @@
   virtual void OnFirstEvent(const StreamPlacement& placement) = 0;
   /// Must be called exactly once for each placement.
   virtual void OnEnd(const StreamPlacement& placement, StreamEnd end) = 0;
-  /// An engine crashed under a request that it had not begun to answer.
-  virtual void OnCrash(const EngineCrash& crash) = 0;
-  /// Time for which requests whose prompts hold these parts are refused; zero when they are not.
-  virtual absl::Duration QuarantineTimeLeft(std::span<const PromptPartId> parts) const = 0;
 };
 
+/// Collects evidence about requests that crash backend servers, and decides which to refuse.
+class CrashGuard {
+ public:
+  virtual ~CrashGuard() = default;
+
+  /// A backend server crashed under a request that it had not answered.
+  virtual void OnCrash(const ServerCrash& crash) = 0;
+  /// A backend server answered the request.
+  virtual void OnRequestServed(RequestFingerprint request) = 0;
+  /// Time for which requests with these traits are refused; zero when they are not.
+  virtual absl::Duration QuarantineTimeLeft(std::span<const RequestTrait> traits) const = 0;
+};
+
+/// Reason of the refusal of a quarantined request, for callers and the log.
+inline constexpr char kQuarantinedReason[] = "requests like this one have crashed backend servers";
+
 /// Charges requests that need no placement to the quota of their workspace and to the request limit
 /// of their backend server.
 class QuotaGate {
--- a/packages/relay/src/front_handler.cc
+++ b/packages/relay/src/front_handler.cc
@@ -5,6 +5,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "marigoldquay/core/metrics.h"
+#include "marigoldquay/core/rendezvous.h"
 #include "request_state.h"
 
 namespace marigoldquay {
@@ -69,6 +70,14 @@
   state.deadline = std::min(state.deadline, state.arrival_time + caller_timeout);
 }
 
+// The caller counts by its workspace, as its other keys lead to the same one.
+RequestFingerprint FingerprintOf(const HttpRequest& request, const WorkspaceId& workspace) {
+  const std::uint64_t body = StableHash(request.body());
+  const auto method = request.method_string();
+  const auto target = request.target();
+  return StableHash(absl::StrCat(ToAbsl(method), " ", ToAbsl(target), "\n", workspace), body);
+}
+
 bool AdmitByQuota(RequestState& state, Yield yield) {
   if (state.workspace == nullptr) return true;
   TokenCount cost = state.workspace->quota.default_cost;
@@ -143,6 +152,7 @@
     SendError(state, 503, "no configuration received yet", kNoConfigurationRetryAfter, yield);
   } else if (Resolve(state, yield)) {
     SetDeadline(state);
+    state.fingerprint = FingerprintOf(request, state.workspace_name());
     asio::steady_timer timer(context_.io, ToChrono(state.TimeLeft()));
     timer.async_wait([&cancellation](const boost::system::error_code& error) {
       if (!error) cancellation.Cancel(CancelCause::kTimeout);
--- a/packages/relay/src/model_relay.cc
+++ b/packages/relay/src/model_relay.cc
@@ -21,9 +21,6 @@
 constexpr double kPrefillTimeoutFactor = 3.0;
 constexpr absl::Duration kPrefillTimeoutSlack = absl::Milliseconds(300);
 constexpr absl::Duration kPrefillConnectTimeout = absl::Milliseconds(120);
-// A crashed engine closes its connections just before it stops to listen.
-constexpr absl::Duration kCrashProbeDelay = absl::Milliseconds(20);
-constexpr absl::Duration kCrashProbeTimeout = absl::Milliseconds(250);
 constexpr absl::Duration kReleaseTimeout = absl::Milliseconds(500);
 constexpr std::size_t kMaxErrorBytes = std::size_t{64} * 1024;
 constexpr unsigned kTooManyRequests = 429;
@@ -65,6 +62,7 @@
   void Run(Yield yield) {
     StreamPlacementRequest request = MakeRequest();
     for (int i = 0; i < kMaxPlacements; ++i) {
+      if (IsQuarantined()) return RejectAsQuarantined(yield);
       // Without a retry there is no use in another prefill.
       if (state_.send_count > 0 && !budget_.CanRetry(state_.Now())) return RejectByBudget(yield);
       request.demand.excluded = state_.context.health.Refusing(state_.Now());
@@ -146,6 +144,10 @@
         yield);
   }
 
+  void RejectAsQuarantined(Yield yield) {
+    Reject({false, state_.QuarantineTimeLeft(), kQuarantinedReason}, yield);
+  }
+
   // The first prefill that an engine accepts belongs to the first attempt; any other one is a
   // retry.
   void CountPrefill(bool accepted) {
@@ -175,7 +177,7 @@
       HandleCancellation(state_, yield);
       return NextStep::kStop;
     }
-    // The prompt may have crashed an engine during the prefill, for another request.
+    // A request like this one may have crashed a server during the prefill.
     if (IsQuarantined()) {
       ReleaseCache(std::move(cache));
       guard.End(StreamEnd::kCancelled);
@@ -184,26 +186,13 @@
     return StreamFromDecode(placement, decode, std::move(cache), guard, yield);
   }
 
-  bool IsQuarantined() const {
-    return state_.context.placer.QuarantineTimeLeft(state_.metadata.shared_parts) >
-           absl::ZeroDuration();
-  }
+  bool IsQuarantined() const { return state_.QuarantineTimeLeft() > absl::ZeroDuration(); }
 
-  // Reports a crash of the engine if it accepts no connections after it has broken off a response
-  // that had just begun or was about to begin. Does not delay the request.
+  // Reports a crash of the engine if it has broken off a response that had just begun or was about
+  // to begin.
   void ReportCrash(const BackendAttempt& attempt) const {
-    const bool answered = state_.Now() - first_event_at_ >= PromptQuarantine::kProvenAfter;
-    if (!attempt.connection_lost() || answered || state_.metadata.shared_parts.empty()) return;
-    const auto& context = state_.context;
-    const EngineCrash crash{attempt.replica().id, state_.metadata.shared_parts, state_.Now()};
-    SpawnFiber(context.io, "check engine",
-               [&context, crash, address = attempt.replica().address](Yield yield) {
-                 SleepFor(context.io, kCrashProbeDelay, yield);
-                 const auto connection = context.connections.MakeNew(address);
-                 const auto connected = connection->Connect(kCrashProbeTimeout, yield);
-                 connection->Close();
-                 if (!connected) context.placer.OnCrash(crash);
-               });
+    const bool answered = state_.Now() - first_event_at_ >= RequestQuarantine::kProvenAfter;
+    if (attempt.connection_lost() && !answered) CheckForCrash(state_, attempt.replica());
   }
 
   // Returns null when the prefill failed; the decode engine then processes the prompt itself.
@@ -255,6 +244,7 @@
     const auto reply = connection->ReadReply(kMaxErrorBytes, timeout, yield);
     if (!reply) {
       CountPrefill(true);
+      if (reply.error().code == ErrorCode::kUnavailable) CheckForCrash(state_, engine);
       return reply.error();
     }
     const auto response = state_.context.dialect.DecodeResponse(reply->status, reply->fields);
@@ -441,6 +431,7 @@
       }
     }
     guard.End(StreamEnd::kDone);
+    state_.context.crash_guard.OnRequestServed(state_.fingerprint);
     const auto finished = state_.reply.Finish(yield);
     state_.outcome = finished ? "answered" : finished.error().message;
     return NextStep::kStop;
--- a/packages/relay/src/plain_relay.cc
+++ b/packages/relay/src/plain_relay.cc
@@ -35,6 +35,8 @@
 
   void Run(Yield yield) {
     for (int i = 0; i < kMaxServersTried; ++i) {
+      const absl::Duration quarantine = state_.QuarantineTimeLeft();
+      if (quarantine > absl::ZeroDuration()) return RejectAsQuarantined(quarantine, yield);
       const auto replica = PickServer(yield);
       if (state_.cancellation.cancelled()) return HandleCancellation(state_, yield);
       if (!replica) break;
@@ -112,6 +114,7 @@
         return NextStep::kRetry;
       case AttemptOutcome::kUnknown:
         ++state_.execution_count;
+        ReportCrash(attempt, yield);
         return HandleUnknownOutcome(yield);
       case AttemptOutcome::kResponded:
         ++state_.execution_count;
@@ -125,8 +128,23 @@
     if (state_.send_count++ == 0) budget_.OnFirstAttempt(state_.Now());
   }
 
+  bool MayRepeat() const {
+    return idempotent_ && state_.execution_count < state_.route->max_attempts;
+  }
+
+  // Reports a crash of the server if that is why the connection was lost. A request that is going
+  // to be repeated waits for the verdict, as it may have caused the crash.
+  void ReportCrash(const BackendAttempt& attempt, Yield yield) {
+    if (!attempt.connection_lost()) return;
+    if (!MayRepeat()) return CheckForCrash(state_, attempt.replica());
+    const ServerCrash crash = MakeServerCrash(state_, attempt.replica().id);
+    if (HasCrashed(state_.context, attempt.replica().address, yield)) {
+      state_.context.crash_guard.OnCrash(crash);
+    }
+  }
+
   NextStep HandleUnknownOutcome(Yield yield) {
-    if (idempotent_ && state_.execution_count < state_.route->max_attempts) return NextStep::kRetry;
+    if (MayRepeat()) return NextStep::kRetry;
     SendError(state_, kBadGateway, absl::StrCat("no valid response: ", last_detail_),
               absl::ZeroDuration(), yield);
     return NextStep::kStop;
@@ -144,9 +162,11 @@
       last_detail_ = attempt.detail();
       state_.context.health.Record(attempt.replica().id, ReplicaOutcome::kUnreachable,
                                    state_.Now());
+      ReportCrash(attempt, yield);
       return HandleUnknownOutcome(yield);
     }
     complete = *read;
+    state_.context.crash_guard.OnRequestServed(state_.fingerprint);
     state_.status = attempt.status();
     state_.outcome = "answered";
     const HttpFields fields = state_.context.dialect.MakeCallerFields(attempt.fields());
@@ -176,6 +196,11 @@
     if (!sent) state_.outcome = sent.error().message;
   }
 
+  void RejectAsQuarantined(absl::Duration time_left, Yield yield) {
+    if (state_.execution_count > 0) return RejectExhausted(yield);
+    SendError(state_, kUnavailable, kQuarantinedReason, time_left, yield);
+  }
+
   void RejectExhausted(Yield yield) {
     if (state_.execution_count > 0) {
       SendError(state_, kBadGateway, absl::StrCat("no valid response: ", last_detail_),
--- a/packages/relay/src/request_state.cc
+++ b/packages/relay/src/request_state.cc
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr unsigned kGatewayTimeout = 504;
+// A crashed server closes its connections just before it stops to listen.
+constexpr absl::Duration kCrashProbeDelay = absl::Milliseconds(20);
+constexpr absl::Duration kCrashProbeTimeout = absl::Milliseconds(250);
 // Fraction of the connection limit of a backend server that may be idle, over all VMs. A server
 // resets connections beyond its limit, and a request on a reset connection counts as executed.
 constexpr double kMaxIdleFraction = 0.3;
@@ -57,6 +60,12 @@
                                  ConnectionPool::kMaxIdlePerPeer);
 }
 
+absl::Duration RequestState::QuarantineTimeLeft() const {
+  std::vector<RequestTrait> traits = metadata.shared_parts;
+  traits.push_back(fingerprint);
+  return context.crash_guard.QuarantineTimeLeft(traits);
+}
+
 void SendError(RequestState& state, unsigned status, absl::string_view reason,
                absl::Duration retry_after, Yield yield) {
   state.status = status;
@@ -96,6 +105,27 @@
   RelayLog().Event("backend_server_refuses", fields);
 }
 
+bool HasCrashed(const FrontContext& context, const Address& server, Yield yield) {
+  SleepFor(context.io, kCrashProbeDelay, yield);
+  const auto connection = context.connections.MakeNew(server);
+  const auto connected = connection->Connect(kCrashProbeTimeout, yield);
+  connection->Close();
+  return !connected;
+}
+
+ServerCrash MakeServerCrash(const RequestState& state, const BackendServerId& server) {
+  return {server, state.metadata.shared_parts, state.Now(), state.fingerprint};
+}
+
+void CheckForCrash(const RequestState& state, const Replica& server) {
+  const auto& context = state.context;
+  SpawnFiber(
+      context.io, "check backend server",
+      [&context, crash = MakeServerCrash(state, server.id), address = server.address](Yield yield) {
+        if (HasCrashed(context, address, yield)) context.crash_guard.OnCrash(crash);
+      });
+}
+
 void HandleCancellation(RequestState& state, Yield yield) {
   if (state.cancellation.cause() == CancelCause::kCallerDisconnected) {
     state.outcome = "caller disconnected";
--- a/packages/relay/src/request_state.h
+++ b/packages/relay/src/request_state.h
@@ -28,6 +28,9 @@
   const CatalogWorkspace* workspace = nullptr;
   const CatalogService* service = nullptr;
 
+  // Identifies the request among retries and on other VMs, for evidence about crashes.
+  RequestFingerprint fingerprint = 0;
+
   absl::Time arrival_time;
   // The caller's deadline or the timeout of the route, whichever is earlier.
   absl::Time deadline = absl::InfiniteFuture();
@@ -46,6 +49,8 @@
   absl::Duration TimeLeft() const { return deadline - Now(); }
   // Maximum number of idle connections from this VM to a backend server of the service.
   std::size_t MaxIdleConnections() const;
+  // Time for which the request is refused since requests like it have crashed backend servers.
+  absl::Duration QuarantineTimeLeft() const;
   WorkspaceId workspace_name() const { return workspace == nullptr ? "" : workspace->name; }
 };
 
@@ -65,6 +70,17 @@
 void RecordServerState(const RequestState& state, const Replica& server,
                        const BackendResponse& response, absl::Time sent_at);
 
+/// Whether the server has crashed, after its connection was lost: whether it accepts no connections
+/// soon after that.
+bool HasCrashed(const FrontContext& context, const Address& server, Yield yield);
+
+/// The crash of a server whose connection was lost under the request at this moment.
+ServerCrash MakeServerCrash(const RequestState& state, const BackendServerId& server);
+
+/// Reports a crash of the server if that is why its connection was lost. Does not delay the
+/// request.
+void CheckForCrash(const RequestState& state, const Replica& server);
+
 /// Relays a request to a plain service, including streams that need no prefill.
 void RelayPlain(RequestState& state, Yield yield);
 
--- a/tests/platform/broken_off_responses_test.cc
+++ b/tests/platform/broken_off_responses_test.cc
@@ -93,9 +93,14 @@
     (void)placement;
     (void)end;
   }
-  void OnCrash(const EngineCrash& crash) override { (void)crash; }
-  absl::Duration QuarantineTimeLeft(std::span<const PromptPartId> parts) const override {
-    (void)parts;
+};
+
+class NoCrashes final : public CrashGuard {
+ public:
+  void OnCrash(const ServerCrash& crash) override { (void)crash; }
+  void OnRequestServed(RequestFingerprint request) override { (void)request; }
+  absl::Duration QuarantineTimeLeft(std::span<const RequestTrait> traits) const override {
+    (void)traits;
     return absl::ZeroDuration();
   }
 };
@@ -140,8 +145,8 @@
         balancer_("z1", health_),
         budgets_(RetryBudgetLimits{}),
         handler_({io_, clock_, view_, dialect_, connections_, health_, balancer_, budgets_, placer_,
-                  quota_, [] { return std::size_t{1}; }, [](const BackendServerId&) {},
-                  [](const StatedRequestLimit&) {}}),
+                  crash_guard_, quota_, [] { return std::size_t{1}; },
+                  [](const BackendServerId&) {}, [](const StatedRequestLimit&) {}}),
         listener_(io_, handler_, 100) {
     CatalogContents contents;
     contents.version = 1;
@@ -210,6 +215,7 @@
   ReplicaBalancer balancer_;
   RetryBudgets budgets_;
   SingleEnginePlacer placer_;
+  NoCrashes crash_guard_;
   OpenQuota quota_;
   FrontHandler handler_;
   HttpListener listener_;
--- a/tests/platform/fake_replica.cc
+++ b/tests/platform/fake_replica.cc
@@ -49,8 +49,12 @@
   return absl::StrContains(Field(request, "Prompt-Prefix"), options_.deadly_part + ":");
 }
 
+void FakeReplica::CrashUnder(const HttpRequest& request) {
+  ledger_.crashes.push_back({options_.id, absl::Now(), request.body()});
+  Crash();
+}
+
 void FakeReplica::Crash() {
-  ledger_.crashes.push_back({options_.id, absl::Now()});
   listener_.StopAccepting();
   listener_.CloseIdle();
   for (HttpReplyWriter* reply : replies_) reply->Abort();
@@ -182,7 +186,7 @@
       ledger_.runs[run].cancelled = absl::Now();
       return reply.Abort();
     }
-    if (IsDeadly(request)) return Crash();
+    if (IsDeadly(request)) return CrashUnder(request);
     const bool breaks = n == 3 && behavior != ReplicaBehavior::kNormal;
     const std::string event = StreamEvent(id, n);
     (void)reply.Append(breaks ? event.substr(0, event.size() / 2) : event, yield);
@@ -209,8 +213,8 @@
     return;
   }
   if (request.target() == "/order") return ChangePhase(request, reply, yield);
-  ReplicaArrival arrival{options_.id, id, absl::Now(), std::nullopt,
-                         Field(request, "Prompt-Prefix")};
+  ReplicaArrival arrival{
+      options_.id, id, absl::Now(), std::nullopt, Field(request, "Prompt-Prefix"), request.body()};
   double limit = 0;
   if (absl::SimpleAtod(options_.request_limit(), &limit)) arrival.limit = limit;
   ledger_.arrivals.push_back(arrival);
@@ -238,6 +242,8 @@
     }
   }
   const std::size_t run = Record(request);
+  const bool deadly = !options_.deadly_body.empty() && request.body() == options_.deadly_body;
+  if (deadly) return CrashUnder(request);
   if (options_.phase.empty()) {
     AnswerPlain(request, run, behavior, reply, cancellation, yield);
   } else {
--- a/tests/platform/fake_replica.h
+++ b/tests/platform/fake_replica.h
@@ -68,12 +68,15 @@
   std::optional<double> limit;
   /// Parts of the prompt, as the request named them.
   std::string parts;
+  std::string body;
 };
 
 /// End of a server under a request that it was about to answer.
 struct ReplicaCrash {
   std::string replica;
   absl::Time at;
+  /// Body of the request that caused it.
+  std::string body;
 };
 
 /// One order to change the role of an engine.
@@ -115,6 +118,8 @@
   std::function<std::string()> request_limit = [] { return ""; };
   /// Part of a prompt under which the server ends before its first event; empty for none.
   std::string deadly_part;
+  /// Body of a request under which the server ends when it begins to run it; empty for none.
+  std::string deadly_body;
   /// Time until it listens again.
   absl::Duration down_time = absl::Seconds(2);
   /// Called when it listens again.
@@ -134,6 +139,8 @@
   std::string Entry(const std::string& state, const Address& address);
   /// Refuses connections from now on.
   void Stop() { listener_.StopAccepting(); }
+  /// Ends all connections and refuses new ones for a while; the start after that is a new one.
+  void Crash();
 
  private:
   void ChangePhase(const HttpRequest& request, HttpReplyWriter& reply, Yield yield);
@@ -148,8 +155,7 @@
   std::size_t Record(const HttpRequest& request);
   // Whether the request holds the deadly part, which is never its last one.
   bool IsDeadly(const HttpRequest& request) const;
-  // Ends all connections and refuses new ones for a while; the start after that is a new one.
-  void Crash();
+  void CrashUnder(const HttpRequest& request);
 
   asio::io_context& io_;
   ReplicaLedger& ledger_;
--- a/tests/platform/fake_store.cc
+++ b/tests/platform/fake_store.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "absl/strings/escaping.h"
+#include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
@@ -145,9 +146,14 @@
   }
   if (path == "/log-owners") return Send(reply, 200, Owners(), yield);
   if (path == "/log-append") {
-    // One record behind the four bytes of its length.
-    const std::size_t offset = topics_[query["topic"]].records.size();
-    Put(query["topic"], "", request.body().substr(4));
+    // One record behind the four bytes of its length; in keyed topics it begins with the key.
+    const std::string& topic = query["topic"];
+    const std::size_t offset = topics_[topic].records.size();
+    const std::string content = request.body().substr(4);
+    const bool keyed = absl::StartsWith(topic, "keyed.");
+    const std::size_t key_size = keyed ? static_cast<unsigned char>(content.front()) : 0;
+    const std::size_t key_at = keyed ? 1 : 0;
+    Put(topic, content.substr(key_at, key_size), content.substr(key_at + key_size));
     return Send(reply, 200, absl::StrCat(R"({"offset":)", offset, R"(,"end":)", offset + 1, "}"),
                 yield);
   }
--- a/tests/platform/world.cc
+++ b/tests/platform/world.cc
@@ -103,9 +103,11 @@
   replica.service = service;
   replica.phase = phase;
   replica.event_gap = options_.event_gap;
+  replica.work = options_.work;
   replica.behavior = [this, id] { return options_.behavior(id); };
   replica.request_limit = [this, id] { return options_.request_limit(id); };
   replica.deadly_part = options_.deadly_part;
+  replica.deadly_body = options_.deadly_body;
   replica.on_restart = [this, id] { store_->Put("keyed.servers", id, Entry(id, "ready")); };
   replica.on_phase = [this, id] { store_->Put("keyed.servers", id, Entry(id, "ready")); };
   replicas_[id] = std::make_unique<FakeReplica>(io_, ledger_, replica);
@@ -281,6 +283,10 @@
   Run([&] { replicas_.at(id)->Stop(); });
 }
 
+void World::CrashAndRestart(const std::string& id) {
+  Run([&] { replicas_.at(id)->Crash(); });
+}
+
 void World::Unlist(const std::string& id) {
   Run([&] { store_->Put("keyed.servers", id, ""); });
 }
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -38,8 +38,12 @@
   };
   /// Time between two events of a stream.
   absl::Duration event_gap = absl::Milliseconds(15);
+  /// Time that a plain server works on a request.
+  absl::Duration work = absl::Milliseconds(5);
   /// Part of a prompt under which engines crash; empty for none.
   std::string deadly_part;
+  /// Body of requests under which servers crash; empty for none.
+  std::string deadly_body;
   bool with_configuration = true;
   /// Share of a core that the VM has.
   std::function<double(int vm)> cpu_share = [](int) { return 0.25; };
@@ -109,6 +113,8 @@
   void Announce(const std::string& id, const std::string& state);
   /// Only on the thread of the stand-ins.
   const Address& replica_address(const std::string& id) { return replicas_.at(id)->address(); }
+  /// Ends a backend server without notice; it starts again after a while.
+  void CrashAndRestart(const std::string& id);
   /// Ends a backend server without notice.
   void Crash(const std::string& id);
   /// Removes its entry from the list.
