Accept only requests that end before the process does, late in a planned stop

Cause: new streams were rejected from 2.5 s on, plain requests never; the process exits half a second before the end of the grace, whatever still runs.

Change: from 2.5 s on a request is accepted only if its deadline comes before the exit, less 0.1 s for the response to leave. Streams are covered by the same rule.

--- a/apps/marigoldquayd/platform_node.cc
+++ b/apps/marigoldquayd/platform_node.cc
@@ -38,8 +38,11 @@
 constexpr std::size_t kMaxAddresses = 24;
 // Only traffic between VMs and the metrics share the inner ports.
 constexpr int kMetricsPort = 9464;
-// New streams would not end before the process does.
-constexpr absl::Duration kStreamsAfterStop = absl::Milliseconds(2500);
+// From then on only requests are accepted that end before the process does, whatever the backend
+// server does. Before that, callers that cannot know of the stop yet are served.
+constexpr absl::Duration kLongRequestsAfterStop = absl::Milliseconds(2500);
+// Time for the last responses to leave.
+constexpr absl::Duration kExitMargin = absl::Milliseconds(100);
 // Callers that keep an address longer than its age go on to come for a while.
 constexpr absl::Duration kMinDrain = absl::Milliseconds(2800);
 constexpr absl::Duration kStopMargin = absl::Milliseconds(500);
@@ -348,7 +351,7 @@
     presence_.Leave(yield);
     while (true) {
       const absl::Duration elapsed = clock_.Now() - started;
-      if (elapsed >= kStreamsAfterStop) front_.RejectStreams();
+      if (elapsed >= kLongRequestsAfterStop) front_.RejectRequestsBeyond(last - kExitMargin);
       const bool idle = front_listener_.active_requests() == 0;
       if (clock_.Now() >= last || (idle && elapsed >= kMinDrain)) break;
       SleepFor(io_, kDrainPoll, yield);
--- a/packages/relay/include/marigoldquay/relay/front_handler.h
+++ b/packages/relay/include/marigoldquay/relay/front_handler.h
@@ -71,8 +71,8 @@
   bool closing() const override { return closing_; }
   void OnRejected(unsigned status, absl::string_view reason) override;
 
-  /// Rejects new streams from now on, since they would not end before the process exits.
-  void RejectStreams() { rejects_streams_ = true; }
+  /// Rejects requests that may take longer than until `exit_time`, when the process exits.
+  void RejectRequestsBeyond(absl::Time exit_time) { exit_time_ = exit_time; }
   /// Closes each connection after its current response.
   void CloseConnections() { closing_ = true; }
 
@@ -80,7 +80,7 @@
   void Relay(internal::RequestState& state, Yield yield);
 
   FrontContext context_;
-  bool rejects_streams_ = false;
+  absl::Time exit_time_ = absl::InfiniteFuture();
   bool closing_ = false;
 };
 
--- a/packages/relay/src/front_handler.cc
+++ b/packages/relay/src/front_handler.cc
@@ -170,7 +170,7 @@
 void FrontHandler::Relay(internal::RequestState& state, Yield yield) {
   const bool model = state.service->engine.has_value();
   const bool stream = state.route->kind == RequestKind::kStream;
-  if (stream && rejects_streams_) {
+  if (state.deadline > exit_time_) {
     state.reply.CloseAfterReply();
     SendError(state, 503, "this VM is shutting down", kStoppingRetryAfter, yield);
     return;
--- a/tests/platform/platform_fleet_test.cc
+++ b/tests/platform/platform_fleet_test.cc
@@ -163,6 +163,42 @@
   BOOST_TEST(served > 0);
 }
 
+// Guards against requests that come late in a planned stop, are sent to a backend server, and are
+// cut without an answer when the process exits.
+BOOST_AUTO_TEST_CASE(request_in_any_second_of_a_planned_stop_is_answered) {
+  WorldOptions options = Named("late_in_stop", 1);
+  options.work = absl::Milliseconds(900);
+  World world(options);
+  BOOST_TEST_REQUIRE(world.AwaitReady(0));
+  struct Sent {
+    CallerCall call;
+    ClientResponse response;
+  };
+  std::vector<std::unique_ptr<Sent>> all;
+  std::vector<std::thread> callers;
+  world.vm(0).Terminate();
+  const absl::Time until = absl::Now() + absl::Seconds(9);
+  while (absl::Now() < until) {
+    auto sent = std::make_unique<Sent>();
+    sent->call = Order();
+    sent->call.path = all.size() % 2 == 0 ? "/order/x" : "/status/x";
+    // Some callers wait for longer than the process lives.
+    sent->call.time_left = all.size() % 4 < 2 ? absl::Milliseconds(1500) : absl::Seconds(5);
+    callers.emplace_back(
+        [&world, sent = sent.get()] { sent->response = world.Call(0, sent->call); });
+    all.push_back(std::move(sent));
+    absl::SleepFor(absl::Milliseconds(100));
+  }
+  for (auto& caller : callers) caller.join();
+  int answered = 0;
+  for (const auto& sent : all) {
+    if (sent->response.complete()) ++answered;
+    const bool passed_on = !world.RunsOf(sent->call.id).empty();
+    BOOST_TEST((!passed_on || sent->response.complete()), sent->call.id << " was cut");
+  }
+  BOOST_TEST(answered > 40);
+}
+
 BOOST_AUTO_TEST_CASE(bad_settings_are_refused_with_the_field) {
   World world(Named("bad_settings", 1));
   const std::string path = world.SettingsPath(0) + ".bad";
