Do not end a stream as complete after a response that is no stream

Cause: only the status of the second response was looked at. Errors with a status of 4xx or 5xx were handled: their text, and each cut of their head or body, by FIN or RST, never reached the stream.

Change: a response that is to continue a stream has to be one by its content type; another one is a failed attempt.

The tests of broken-off responses forget the failures of the stand-in servers before each call. Until now a server that had just failed got no requests for a while, so that most cuts were answered by the router itself and tested nothing. With that, each byte of a head is cut for plain routes and streams, with FIN and RST: none becomes a success. The reported answer that is cut in its head could not be reproduced here.

--- a/packages/relay/src/backend_attempt.h
+++ b/packages/relay/src/backend_attempt.h
@@ -58,6 +58,8 @@
   std::optional<std::uint64_t> content_length() const;
   BodyFraming framing() const;
   const BackendResponse& response() const { return response_; }
+  /// Whether the response to a request for a stream is one, by its status and content type.
+  bool IsEventStream() const;
   const Replica& replica() const { return replica_; }
   /// Whether any bytes of the request may have reached the server.
   bool may_have_reached() const { return may_have_reached_; }
@@ -73,7 +75,6 @@
   // Fails an exchange whose request may have reached the server.
   AttemptOutcome FailExchange(const Error& error);
   AttemptOutcome CheckResponseHead();
-  bool IsEventStream() const;
   // Whether the body has ended where its framing or its events do not allow an end.
   bool EndedInsideEvent() const;
 
--- a/packages/relay/src/model_relay.cc
+++ b/packages/relay/src/model_relay.cc
@@ -386,6 +386,11 @@
   NextStep ForwardResponse(const StreamPlacement& placement, BackendAttempt& attempt,
                            PlacementGuard& guard, Yield yield) {
     if (!attempt.response().successful) return ForwardErrorResponse(attempt, guard, yield);
+    if (state_.reply.started() && !attempt.IsEventStream()) {
+      last_detail_ = "the response that was to continue the stream is no event stream";
+      guard.End(StreamEnd::kFailed);
+      return HandleInterruption(attempt.replica().id, yield);
+    }
     if (!state_.reply.started()) {
       state_.status = attempt.status();
       // The length of a resumable stream may differ from the one that its first server stated.
--- a/tests/platform/broken_off_responses_test.cc
+++ b/tests/platform/broken_off_responses_test.cc
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 
 #include <boost/test/unit_test.hpp>
+#include <future>
 #include <string>
 #include <thread>
 #include <vector>
@@ -71,19 +72,25 @@
   TcpStubServer server_;
 };
 
-/// Places every request on the same engine, once.
-class SingleEnginePlacer final : public StreamPlacer {
+/// Places every request on the engine e1, and on e2 when that one has failed and there are two.
+class FixedPlacer final : public StreamPlacer {
  public:
   PlacementOutcome Place(const StreamPlacementRequest& request, Cancellation& cancellation,
                          Yield yield) override {
     (void)cancellation;
     (void)yield;
-    if (!request.demand.excluded.empty()) return PlacementRefusal{false, {}, "no other engine"};
-    StreamPlacement placement;
-    placement.service = request.service;
-    placement.decode = "e1";
-    return placement;
+    const auto& excluded = request.demand.excluded;
+    for (const std::string engine : {"e1", "e2"}) {
+      if (engine == "e2" && engines_ < 2) break;
+      if (std::find(excluded.begin(), excluded.end(), engine) != excluded.end()) continue;
+      StreamPlacement placement;
+      placement.service = request.service;
+      placement.decode = engine;
+      return placement;
+    }
+    return PlacementRefusal{false, {}, "no other engine"};
   }
+  void set_engines(std::size_t engines) { engines_ = engines; }
   void OnPrefillEnd(const StreamPlacement& placement, bool ok) override {
     (void)placement;
     (void)ok;
@@ -93,6 +100,9 @@
     (void)placement;
     (void)end;
   }
+
+ private:
+  std::size_t engines_ = 1;
 };
 
 class NoCrashes final : public CrashGuard {
@@ -136,8 +146,9 @@
   return route;
 }
 
-/// A relay with one engine and one plain server, both at the breaking server. Routes: /resumed/ and
-/// /once/ lead to the engine, /plain/, /plain-stream/ and /lookup/ to the plain server.
+/// A relay with one engine or two and one plain server, all of them breaking servers. Routes:
+/// /resumed/ and /once/ lead to the engines, /plain/, /plain-stream/ and /lookup/ to the plain
+/// server.
 class Relay {
  public:
   Relay()
@@ -160,6 +171,7 @@
     contents.services = {{"model", 0, EngineProfile{}}, {"plain", 0, std::nullopt}};
     view_.Apply(contents);
     view_.replicas().Upsert(Server("e1", "model", engine_.address()));
+    view_.replicas().Upsert(Server("e2", "model", second_engine_.address()));
     view_.replicas().Upsert(Server("s1", "plain", plain_.address()));
     const auto started = listener_.Start("127.0.0.1:0");
     BOOST_REQUIRE(started.ok());
@@ -182,12 +194,22 @@
     plain_.Set(bytes, ending);
     return Call(path);
   }
+  /// What the caller gets when the first engine breaks its stream off after `first` and the second
+  /// one sends `second` and then ends the connection.
+  ClientResponse CallTwoEngines(const std::string& path, const std::string& first,
+                                const std::string& second, Ending ending) {
+    placer_.set_engines(2);
+    engine_.Set(first, Ending::kFin);
+    second_engine_.Set(second, ending);
+    return Call(path);
+  }
   /// Sets what the backend servers do with each connection.
   void Script(const TcpStubServer::Script& script) {
     engine_.Set(script);
     plain_.Set(script);
   }
   ClientResponse Call(const std::string& path) {
+    ForgetFailures();
     ClientRequest request;
     request.url = url_ + path + "x";
     request.headers = {"Host: shop.example", absl::StrCat("Attempt-Id: ", kRequestId)};
@@ -196,6 +218,16 @@
   }
 
  private:
+  // Otherwise the servers get no requests for a while after each failure.
+  void ForgetFailures() {
+    std::promise<void> done;
+    asio::post(io_, [&] {
+      health_.Retain({});
+      done.set_value();
+    });
+    done.get_future().wait();
+  }
+
   static Replica Server(const std::string& id, const std::string& service, const Address& address) {
     Replica server;
     server.id = id;
@@ -205,6 +237,7 @@
   }
 
   BreakingServer engine_;
+  BreakingServer second_engine_;
   BreakingServer plain_;
   asio::io_context io_;
   const Clock& clock_ = SystemClock::Instance();
@@ -214,7 +247,7 @@
   ReplicaHealth health_;
   ReplicaBalancer balancer_;
   RetryBudgets budgets_;
-  SingleEnginePlacer placer_;
+  FixedPlacer placer_;
   NoCrashes crash_guard_;
   OpenQuota quota_;
   FrontHandler handler_;
@@ -300,6 +333,63 @@
   }
 }
 
+// Guards against an error of the server that was to continue a stream, whose text or head the
+// caller gets within the stream, and against a stream that looks complete because of it.
+BOOST_AUTO_TEST_CASE(error_of_the_second_server_does_not_get_into_the_stream) {
+  const std::string error = "engine is out of order";
+  const std::string kinds[] = {
+      absl::StrCat("HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: ", kRequestId,
+                   "\r\nContent-Type: text/plain\r\nContent-Length: ", error.size(), "\r\n\r\n",
+                   error),
+      absl::StrCat("HTTP/1.1 502 Bad Gateway\r\n\r\n", error),
+      absl::StrCat("HTTP/1.1 200 OK\r\nAttempt-Id: ", kRequestId,
+                   "\r\nResponse-Seal: s\r\nContent-Type: text/plain\r\nContent-Length: ",
+                   error.size(), "\r\n\r\n", error)};
+  const std::string events = kEvents;
+  const std::string first = absl::StrCat(Head(""), events.substr(0, events.find("id: 2") + 8));
+  Relay relay;
+  for (const std::string& second : kinds) {
+    for (const Ending ending : {Ending::kFin, Ending::kRst}) {
+      for (std::size_t cut = 0; cut <= second.size(); ++cut) {
+        const auto response =
+            relay.CallTwoEngines("/resumed/", first, second.substr(0, cut), ending);
+        BOOST_TEST(!LooksComplete(response), "looks complete after byte " << cut);
+        const bool only_events = absl::StartsWith(kEvents, response.body);
+        BOOST_TEST(only_events, "the caller got " << response.body);
+      }
+    }
+  }
+}
+
+// Guards against a response that is cut inside its head and reaches the caller as a success with an
+// empty or short body.
+BOOST_AUTO_TEST_CASE(response_that_is_cut_inside_its_head_is_no_success) {
+  Relay relay;
+  for (const std::string path : {"/plain/", "/lookup/", "/plain-stream/", "/once/", "/resumed/"}) {
+    for (const auto& whole : {Unframed(), WithLength(), Chunked()}) {
+      const std::size_t head = whole.find("\r\n\r\n") + 4;
+      for (const Ending ending : {Ending::kFin, Ending::kRst}) {
+        for (std::size_t cut = 0; cut < head; ++cut) {
+          const auto response = relay.Call(path, whole.substr(0, cut), ending);
+          BOOST_TEST(response.status != 200, path << " succeeds after byte " << cut);
+        }
+      }
+    }
+  }
+}
+
+// Guards against a response whose body is shorter than its length or chunks say and that reaches
+// the caller as a whole one, framed anew.
+BOOST_AUTO_TEST_CASE(framed_response_that_is_cut_is_no_success) {
+  Relay relay;
+  for (const std::string path : {"/plain/", "/lookup/"}) {
+    for (const Ending ending : {Ending::kFin, Ending::kRst}) {
+      BOOST_TEST(CutsThatLookComplete(relay, path, WithLength(), ending).empty(), path);
+      BOOST_TEST(CutsThatLookComplete(relay, path, Chunked(), ending).empty(), path);
+    }
+  }
+}
+
 // Guards against an earlier refusal that the server sends once more on a kept connection, and that
 // the caller of the next request is told as its own.
 BOOST_AUTO_TEST_CASE(earlier_refusal_on_a_kept_connection_is_not_passed_on) {
