Give the store longer to drop the entries of a copy

Three heartbeats may take longer than the 6 s after which a removed server was used again when the list still named it; heartbeats of up to 5 s are covered now. Found by reading; no run showed it.

--- a/packages/fleet/src/followers.cc
+++ b/packages/fleet/src/followers.cc
@@ -38,8 +38,8 @@
 // alive.
 constexpr absl::Duration kReappearanceGrace = absl::Milliseconds(2200);
 // By this time after the store came back from a copy, it has dropped the entries of the copy whose
-// servers do not write any more.
-constexpr absl::Duration kOutdatedListTime = absl::Seconds(6);
+// servers do not write any more: three heartbeats, which settings may make several seconds long.
+constexpr absl::Duration kOutdatedListTime = absl::Seconds(15);
 
 // Reasons that are remembered, so that each is logged once.
 constexpr std::size_t kMaxLoggedSkips = 100;
