--- a/packages/dispatch/include/marigoldquay/dispatch/request_quarantine.h
+++ b/packages/dispatch/include/marigoldquay/dispatch/request_quarantine.h
@@ -73,8 +73,6 @@
   absl::Duration TimeLeft(std::span<const RequestTrait> traits, absl::Time now) const;
   /// All quarantines that are in force.
   std::vector<QuarantinedTraits> quarantined(absl::Time now) const;
-  /// Whether a crash under the request counts.
-  bool IsSuspected(RequestFingerprint request) const;
   /// Requests that one more crash would quarantine; at most kMaxSuspects.
   std::vector<RequestFingerprint> suspects() const;
   /// Incremented when a quarantine begins or ends early.
--- a/packages/dispatch/src/request_quarantine.cc
+++ b/packages/dispatch/src/request_quarantine.cc
@@ -172,11 +172,6 @@
   return in_force;
 }
 
-bool RequestQuarantine::IsSuspected(RequestFingerprint request) const {
-  const auto found = records_.find(request);
-  return found != records_.end() && !found->second.crashes.empty();
-}
-
 std::vector<RequestFingerprint> RequestQuarantine::suspects() const {
   std::vector<RequestFingerprint> suspects;
   for (const auto& [trait, record] : records_) {
--- a/packages/fleet/src/coordinator_link_placing.cc
+++ b/packages/fleet/src/coordinator_link_placing.cc
@@ -321,13 +321,11 @@
 void CoordinatorLink::OnRequestServed(RequestFingerprint request) {
   const absl::Time now = clock_.Now();
   quarantine_.OnRequestServed(request, now);
-  const bool wanted = std::find(suspected_requests_.begin(), suspected_requests_.end(), request) !=
-                      suspected_requests_.end();
-  if (!wanted || served_requests_.size() >= RequestQuarantine::kMaxSuspects) return;
-  const bool first = served_requests_.empty();
+  // One report does until the next state of the coordinator.
+  if (std::erase(suspected_requests_, request) == 0) return;
   served_requests_[request] = now;
   // One more crash elsewhere would condemn the request meanwhile.
-  if (first) SendReport();
+  SendReport();
 }
 
 absl::Duration CoordinatorLink::QuarantineTimeLeft(std::span<const RequestTrait> traits) const {
