--- a/packages/fleet/include/marigoldquay/fleet/coordinator.h
+++ b/packages/fleet/include/marigoldquay/fleet/coordinator.h
@@ -130,12 +130,12 @@
                       const protocol::PlaceStreamRequestT& request);
   void OnProgress(Session& session, const protocol::StreamProgressMessageT& message);
   // Crashes of backend servers, quarantines and answered suspects that a VM reports.
-  void OnCrashReport(const protocol::FleetReportT& report, absl::Time made_at);
+  void OnCrashReport(const protocol::FleetReportT& report, absl::Time created_at);
   // What a VM knows of the store's data, which may be newer than the data of this VM.
-  void OnStoreReport(Session& session, const protocol::FleetReportT& report, absl::Time made_at);
-  // Earliest time at which the report can have been made: after a state of this VM that it names.
-  // It may have been under way for long.
-  absl::Time EarliestMakingOf(const protocol::FleetReportT& report) const;
+  void OnStoreReport(Session& session, const protocol::FleetReportT& report, absl::Time created_at);
+  // Earliest time at which the report can have been created, which is after a state of this VM that
+  // it names. It may have been under way for long.
+  absl::Time EarliestCreation(const protocol::FleetReportT& report) const;
   void OnCrash(const ServerCrash& crash);
   void RecordServed(const StreamDemand& demand, absl::Time began_at) {
     quarantine_.OnServed(demand.shared_parts, began_at);
--- a/packages/fleet/include/marigoldquay/fleet/coordinator_link.h
+++ b/packages/fleet/include/marigoldquay/fleet/coordinator_link.h
@@ -115,6 +115,10 @@
   }
 
  private:
+  // Maximum feed age on a VM that may be the next coordinator, which has to find out early whether
+  // it can reach the store.
+  static constexpr absl::Duration kStandbyMaxFeedAge = absl::Milliseconds(1100);
+
   // A call waiting for replies; registered in calls_ for its whole lifetime.
   struct Call {
     explicit Call(CoordinatorLink& owner)
@@ -287,8 +291,8 @@
   RequestQuarantine quarantine_;
   // Requests that the coordinator wants to hear of when they are answered.
   std::vector<RequestFingerprint> suspected_requests_;
-  // Those of them that were answered since the last report, with the time; at most
-  // RequestQuarantine::kMaxSuspects.
+  // Those of them that were answered since the last report, with the time; none while this VM has a
+  // session, as they are reported at once.
   std::map<RequestFingerprint, absl::Time> served_requests_;
   // The last crashes that this VM has seen, oldest first; at most kMaxRememberedCrashes.
   std::deque<ServerCrash> crashes_;
--- a/packages/fleet/src/coordinator.cc
+++ b/packages/fleet/src/coordinator.cc
@@ -199,8 +199,8 @@
   const absl::Time now = clock_.Now();
   session.member = FromWire(*report.sender);
   reporting_members_.Set(session.member);
-  const absl::Time made_at = EarliestMakingOf(report);
-  OnStoreReport(session, report, made_at);
+  const absl::Time created_at = EarliestCreation(report);
+  OnStoreReport(session, report, created_at);
   // Levels and charges below refer to these limits.
   for (const auto& limit : report.request_limits) {
     hooks_.on_request_limit(FromWire(*limit, now));
@@ -208,14 +208,14 @@
   if (!session.reported) OnFirstReport(session, report);
   if (report.needs_servers) session.sent_replicas_version = 0;
   for (const auto& server : report.leaving_servers) hooks_.on_leaving_server(server);
-  OnCrashReport(report, made_at);
+  OnCrashReport(report, created_at);
   for (const auto& entry : report.spent) {
     const auto quota = FindQuota(view_, AccountFromWire(*entry));
     if (quota) quota_.Charge(*quota, entry->tokens, now);
   }
 }
 
-absl::Time Coordinator::EarliestMakingOf(const protocol::FleetReportT& report) const {
+absl::Time Coordinator::EarliestCreation(const protocol::FleetReportT& report) const {
   const absl::Time now = clock_.Now();
   if (report.state_sent_ms == 0) return now;
   const absl::Time earliest =
@@ -224,8 +224,8 @@
 }
 
 void Coordinator::OnStoreReport(Session& session, const protocol::FleetReportT& report,
-                                absl::Time made_at) {
-  session.store_contact = {report.store_era, made_at - absl::Milliseconds(report.store_age_ms)};
+                                absl::Time created_at) {
+  session.store_contact = {report.store_era, created_at - absl::Milliseconds(report.store_age_ms)};
   for (const auto& departure : report.departures) hooks_.on_departure(FromWire(*departure));
   session.catalog_version = report.catalog_version;
   if (report.catalog_version <= CatalogVersion()) return;
@@ -238,15 +238,15 @@
   }
 }
 
-void Coordinator::OnCrashReport(const protocol::FleetReportT& report, absl::Time made_at) {
+void Coordinator::OnCrashReport(const protocol::FleetReportT& report, absl::Time created_at) {
   const absl::Time now = clock_.Now();
   const std::uint64_t before = quarantine_.version();
   for (const auto& quarantined : report.quarantined) {
     (void)quarantine_.Adopt(FromWire(*quarantined, now), now);
   }
-  for (const auto& crash : report.crashes) OnCrash(FromWire(*crash, made_at));
+  for (const auto& crash : report.crashes) OnCrash(FromWire(*crash, created_at));
   for (const auto& served : report.served) {
-    quarantine_.OnRequestServed(served->request, made_at - absl::Milliseconds(served->age_ms));
+    quarantine_.OnRequestServed(served->request, created_at - absl::Milliseconds(served->age_ms));
   }
   if (quarantine_.version() != before || !report.crashes.empty()) TriggerStateBroadcast();
 }
