--- a/review/harness/backend_server.cc
+++ b/review/harness/backend_server.cc
@@ -48,6 +48,12 @@
   }
 }
 
+void ServerExchange::WorkOn(absl::Duration duration) {
+  asio::steady_timer timer(socket_.get_executor(), ToChrono(duration));
+  boost::system::error_code ignored;
+  timer.async_wait(yield_[ignored]);
+}
+
 BackendServer::BackendServer(asio::io_context& io, BackendServerOptions options)
     : io_(io), options_(std::move(options)), acceptor_(io), born_(absl::ToUnixMillis(absl::Now())) {
   acceptor_.open(Tcp::v4());
@@ -85,11 +91,12 @@
   boost::system::error_code error;
   socket->set_option(Tcp::no_delay(true), error);
   beast::flat_buffer buffer;
+  std::string late_bytes;
   while (true) {
     http::request_parser<http::string_body> parser;
     http::async_read(*socket, buffer, parser, yield[error]);
     if (error) return;
-    ServerExchange exchange(parser.release(), *socket, yield);
+    ServerExchange exchange(parser.release(), *socket, late_bytes, yield);
     options_.script(exchange);
     if (exchange.closes()) return;
   }
--- a/review/harness/backend_server.h
+++ b/review/harness/backend_server.h
@@ -17,8 +17,8 @@
 /// has closed the connection.
 class ServerExchange {
  public:
-  ServerExchange(HttpRequest request, Tcp::socket& socket, Yield yield)
-      : request_(std::move(request)), socket_(socket), yield_(yield) {}
+  ServerExchange(HttpRequest request, Tcp::socket& socket, std::string& late_bytes, Yield yield)
+      : request_(std::move(request)), socket_(socket), late_bytes_(late_bytes), yield_(yield) {}
 
   const HttpRequest& request() const { return request_; }
   std::string Field(const char* name) const { return std::string(request_[name]); }
@@ -28,6 +28,10 @@
   bool Answer(unsigned status, const std::string& fields, const std::string& body);
   /// Waits; false when the router has closed the connection meanwhile.
   bool Work(absl::Duration duration);
+  /// Waits, whatever happens to the connection.
+  void WorkOn(absl::Duration duration);
+  /// Bytes that the connection sends late, before the next answer; kept between its requests.
+  std::string& late_bytes() { return late_bytes_; }
   /// Closes the connection when the script returns.
   void CloseAfter() { close_ = true; }
   bool closes() const { return close_; }
@@ -35,6 +39,7 @@
  private:
   HttpRequest request_;
   Tcp::socket& socket_;
+  std::string& late_bytes_;
   Yield yield_;
   bool close_ = false;
 };
