--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -7,9 +7,9 @@
 #include <set>
 #include <string>
 
+#include "../harness/traffic.h"
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
-#include "harness/traffic.h"
 
 namespace marigoldquay::review {
 namespace {
--- a/review/harness/backend_server.cc
+++ b/review/harness/backend_server.cc
@@ -1,5 +1,5 @@
 // Stand-in of a backend server.
-#include "harness/backend_server.h"
+#include "backend_server.h"
 
 #include <sys/socket.h>
 
--- a/review/harness/caller.cc
+++ b/review/harness/caller.cc
@@ -1,5 +1,5 @@
 // Stand-in of a client.
-#include "harness/caller.h"
+#include "caller.h"
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
--- a/review/harness/daemon.cc
+++ b/review/harness/daemon.cc
@@ -1,5 +1,5 @@
 // Start and end of a daemon.
-#include "harness/daemon.h"
+#include "daemon.h"
 
 #include <fcntl.h>
 #include <sys/prctl.h>
--- a/review/harness/deployment.cc
+++ b/review/harness/deployment.cc
@@ -1,5 +1,5 @@
 // A small deployment on loopback addresses.
-#include "harness/deployment.h"
+#include "deployment.h"
 
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -13,7 +13,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
-#include "harness/caller.h"
+#include "caller.h"
 
 namespace marigoldquay::review {
 namespace {
--- a/review/harness/deployment.h
+++ b/review/harness/deployment.h
@@ -6,11 +6,11 @@
 #include <string>
 #include <vector>
 
-#include "fake_store.h"
-#include "harness/backend_server.h"
-#include "harness/daemon.h"
-#include "harness/record.h"
+#include "../../tests/platform/fake_store.h"
+#include "backend_server.h"
+#include "daemon.h"
 #include "marigoldquay/net/http_listener.h"
+#include "record.h"
 
 namespace marigoldquay::review {
 
--- a/review/harness/record.cc
+++ b/review/harness/record.cc
@@ -1,5 +1,5 @@
 // Record of a run.
-#include "harness/record.h"
+#include "record.h"
 
 #include <cstdio>
 
--- a/review/harness/traffic.cc
+++ b/review/harness/traffic.cc
@@ -1,5 +1,5 @@
 // Sound backend servers and the usual traffic of a small deployment.
-#include "harness/traffic.h"
+#include "traffic.h"
 
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
--- a/review/harness/traffic.h
+++ b/review/harness/traffic.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
-#include "harness/caller.h"
-#include "harness/deployment.h"
+#include "caller.h"
+#include "deployment.h"
 
 namespace marigoldquay::review {
 
