--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -19,6 +19,8 @@
 constexpr absl::Duration kLook = absl::Milliseconds(5);
 // Delay after which the platform starts a process again.
 constexpr absl::Duration kRestartDelay = absl::Seconds(1);
+// Traffic starts 10 s after the machines do.
+constexpr absl::Duration kStart = absl::Seconds(10);
 constexpr absl::Duration kQuiet = absl::Seconds(5);
 // The trouble comes a few times, each for as long as `srv_grey` of the site file.
 constexpr int kTroubles = 5;
@@ -50,7 +52,7 @@
     }
     for (const char* id : {"p1", "p2", "p3"}) {
       AddServer(id, "brief-writer", "prefill",
-                [id](ServerExchange& exchange) { AnswerPrefill(exchange, id); });
+                [](ServerExchange& exchange) { AnswerPrefill(exchange); });
     }
     for (const char* id : {"d1", "d2", "d3", "d4", "d5", "d6"}) {
       AddServer(id, "brief-writer", "decode", [this, id](ServerExchange& exchange) {
@@ -65,6 +67,7 @@
     for (int i = 0; i < deployment_.vms(); ++i) deployment_.StartVm(i);
     SpawnFiber(io_, "platform", [this](Yield inner) { WatchMemory(inner); });
     if (!deployment_.AwaitReady(yield)) return 2;
+    SleepFor(io_, kStart, yield);
     source_.Start();
     SleepFor(io_, kQuiet, yield);
     for (int i = 0; i < kTroubles; ++i) {
@@ -104,13 +107,15 @@
 
   // Begins the answer like a sound one; what follows the head is no body, and has no end.
   void AnswerWithoutEnd(ServerExchange& exchange) {
+    if (!TakePrompt(exchange)) return;
     ++endless_answers_;
     const std::string id = exchange.Field("Attempt-Id");
     ledger_[id].runs.push_back(kInTrouble);
     record_.Line("server ", kInTrouble, ": answer without end to ", id);
-    bool open = exchange.Write(
-        absl::StrCat("HTTP/1.1 200 OK\r\n", SealedFields(exchange, kInTrouble),
-                     "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"));
+    bool open =
+        exchange.Write(absl::StrCat("HTTP/1.1 200 OK\r\n", SealedFields(exchange, kInTrouble),
+                                    "Content-Type: text/event-stream\r\nWeight-Versions: "
+                                    "1\r\nTransfer-Encoding: chunked\r\n\r\n"));
     const std::string piece(kPieceBytes, 'x');
     std::size_t sent = 0;
     while (open) {
@@ -194,5 +199,5 @@
       [&record](marigoldquay::asio::io_context& io, marigoldquay::Yield yield) {
         return std::make_unique<Case>(io, record)->Run(yield);
       },
-      absl::Seconds(100));
+      absl::Seconds(112));
 }
--- a/review/harness/backend_server.cc
+++ b/review/harness/backend_server.cc
@@ -54,6 +54,8 @@
   timer.async_wait(yield_[ignored]);
 }
 
+std::string ServerExchange::Load() const { return absl::StrCat(running_, ",0,", slots_); }
+
 BackendServer::BackendServer(asio::io_context& io, BackendServerOptions options)
     : io_(io), options_(std::move(options)), acceptor_(io), born_(absl::ToUnixMillis(absl::Now())) {
   acceptor_.open(Tcp::v4());
@@ -87,6 +89,23 @@
   }
 }
 
+bool BackendServer::AnswerWithoutScript(ServerExchange& exchange) const {
+  const auto& request = exchange.request();
+  // A call that frees a handle goes to the script of the stage that has made it.
+  if (request.method() == http::verb::delete_) return false;
+  const std::string id_field = absl::StrCat("Attempt-Id: ", exchange.Field("Attempt-Id"), "\r\n");
+  const bool prefill = exchange.Field("Stage") == "prefill";
+  const bool order = request.target() == "/order";
+  const bool wrong_stage =
+      !order && !options_.phase.empty() && prefill != (options_.phase == "prefill");
+  if (exchange.Field("Expect-Instance") != options_.id || wrong_stage) {
+    return exchange.Answer(421, id_field, ""), true;
+  }
+  // Engines of the cases keep their stage: another order is in progress.
+  if (order) return exchange.Answer(409, "Content-Type: application/json\r\n", "{}"), true;
+  return false;
+}
+
 void BackendServer::Serve(const std::shared_ptr<Tcp::socket>& socket, Yield yield) {
   boost::system::error_code error;
   socket->set_option(Tcp::no_delay(true), error);
@@ -96,8 +115,11 @@
     http::request_parser<http::string_body> parser;
     http::async_read(*socket, buffer, parser, yield[error]);
     if (error) return;
-    ServerExchange exchange(parser.release(), *socket, late_bytes, yield);
+    ServerExchange exchange(parser.release(), *socket, late_bytes, running_, options_.slots, yield);
+    if (AnswerWithoutScript(exchange)) continue;
+    ++running_;
     options_.script(exchange);
+    --running_;
     if (exchange.closes()) return;
   }
 }
--- a/review/harness/backend_server.h
+++ b/review/harness/backend_server.h
@@ -17,8 +17,15 @@
 /// has closed the connection.
 class ServerExchange {
  public:
-  ServerExchange(HttpRequest request, Tcp::socket& socket, std::string& late_bytes, Yield yield)
-      : request_(std::move(request)), socket_(socket), late_bytes_(late_bytes), yield_(yield) {}
+  /// `running` is the number of requests at the server, this one included.
+  ServerExchange(HttpRequest request, Tcp::socket& socket, std::string& late_bytes,
+                 const int& running, int slots, Yield yield)
+      : request_(std::move(request)),
+        socket_(socket),
+        late_bytes_(late_bytes),
+        running_(running),
+        slots_(slots),
+        yield_(yield) {}
 
   const HttpRequest& request() const { return request_; }
   std::string Field(const char* name) const { return std::string(request_[name]); }
@@ -32,6 +39,8 @@
   void WorkOn(absl::Duration duration);
   /// Bytes that the connection sends late, before the next answer; kept between its requests.
   std::string& late_bytes() { return late_bytes_; }
+  /// Load of the server as its answers state it.
+  std::string Load() const;
   /// Closes the connection when the script returns.
   void CloseAfter() { close_ = true; }
   bool closes() const { return close_; }
@@ -40,6 +49,8 @@
   HttpRequest request_;
   Tcp::socket& socket_;
   std::string& late_bytes_;
+  const int& running_;
+  const int slots_;
   Yield yield_;
   bool close_ = false;
 };
@@ -68,6 +79,8 @@
  private:
   void Accept(Yield yield);
   void Serve(const std::shared_ptr<Tcp::socket>& socket, Yield yield);
+  // Answers what needs no script: requests for another instance or stage, and orders.
+  bool AnswerWithoutScript(ServerExchange& exchange) const;
 
   asio::io_context& io_;
   const BackendServerOptions options_;
@@ -75,6 +88,7 @@
   Address address_;
   std::int64_t born_;
   int sequence_ = 0;
+  int running_ = 0;
 };
 
 }  // namespace marigoldquay::review
--- a/review/harness/deployment.cc
+++ b/review/harness/deployment.cc
@@ -88,6 +88,12 @@
   }
 }
 
+Deployment::~Deployment() {
+  for (const Vm& vm : vms_) vm.daemon->Kill();
+  std::error_code ignored;  // Only a temporary folder would be left.
+  std::filesystem::remove_all(options_.folder, ignored);
+}
+
 std::string Deployment::Configuration() const {
   const boost::json::object engine{
       {"slots", options_.engine_slots}, {"kvCapacity", 96'426}, {"kvHoldS", 0.5}};
--- a/review/harness/deployment.h
+++ b/review/harness/deployment.h
@@ -31,6 +31,10 @@
 class Deployment {
  public:
   Deployment(asio::io_context& io, Record& record, DeploymentOptions options);
+  /// Ends all daemons and removes the folder.
+  ~Deployment();
+  Deployment(const Deployment&) = delete;
+  Deployment& operator=(const Deployment&) = delete;
 
   /// Adds a backend server and lists it.
   BackendServer& AddServer(BackendServerOptions options);
--- a/review/harness/traffic.cc
+++ b/review/harness/traffic.cc
@@ -11,6 +11,10 @@
 
 // Prompt of 200 shared and 5,000 own tokens; a prefill reads some 55 tokens a ms.
 constexpr absl::Duration kPrefillWork = absl::Milliseconds(94);
+// A decode engine reads a prompt at half the speed.
+constexpr absl::Duration kPrefillOnDecodeWork = absl::Milliseconds(188);
+// `kvHoldS` of the configuration.
+constexpr absl::Duration kHandleTime = absl::Milliseconds(500);
 constexpr char kStreamFields[] =
     "Content-Type: application/json\r\nModel: m\r\nToken-Count: 5200,71\r\n";
 constexpr std::size_t kStreamBodyBytes = 5000;
@@ -18,11 +22,24 @@
 constexpr std::size_t kPlainAnswerBytes = 800;
 constexpr absl::Duration kStreamPatience = absl::Milliseconds(3600);
 
+// Handles that have not been taken or freed, with the time at which they lapse.
+std::map<std::string, absl::Time>& Handles() {
+  static std::map<std::string, absl::Time> handles;
+  return handles;
+}
+
+bool TakeHandle(const std::string& handle) {
+  const auto found = Handles().find(handle);
+  const bool held = found != Handles().end() && absl::Now() < found->second;
+  if (found != Handles().end()) Handles().erase(found);
+  return held;
+}
+
 }  // namespace
 
 std::string SealedFields(const ServerExchange& exchange, const std::string& server) {
   return absl::StrCat("Attempt-Id: ", exchange.Field("Attempt-Id"), "\r\nResponse-Seal: seal-",
-                      server, "\r\nInstance-Load: 1,0,6\r\n");
+                      server, "\r\nInstance-Load: ", exchange.Load(), "\r\n");
 }
 
 std::string StreamEvent(const std::string& id, int number) {
@@ -38,26 +55,50 @@
   if (!exchange.Answer(200, SealedFields(exchange, server), body)) exchange.CloseAfter();
 }
 
-void AnswerPrefill(ServerExchange& exchange, const std::string& server) {
+bool TakePrompt(ServerExchange& exchange) {
+  const std::string source = exchange.Field("Kv-Source");
+  if (source.empty()) {
+    const bool open = exchange.Work(kPrefillOnDecodeWork);
+    if (!open) exchange.CloseAfter();
+    return open;
+  }
+  if (TakeHandle(source.substr(source.find('/') + 1))) return true;
+  const std::string fields =
+      absl::StrCat("Attempt-Id: ", exchange.Field("Attempt-Id"), "\r\nNot-Executed: 1\r\n");
+  if (!exchange.Answer(503, fields, "")) exchange.CloseAfter();
+  return false;
+}
+
+void AnswerPrefill(ServerExchange& exchange) {
   static int next = 1;
+  constexpr absl::string_view kHandlePath = "/kv-handle/";
+  const auto target = ToAbsl(exchange.request().target());
+  if (absl::StartsWith(target, kHandlePath)) {
+    (void)TakeHandle(std::string(target.substr(kHandlePath.size())));
+    if (!exchange.Answer(200, "", "")) exchange.CloseAfter();
+    return;
+  }
   if (!exchange.Work(kPrefillWork)) return exchange.CloseAfter();
+  const std::string handle = absl::StrCat("h", next++);
+  Handles()[handle] = absl::Now() + kHandleTime;
   const std::string body =
-      absl::StrCat(R"({"kvHandle":"h)", next++, R"(","tokens":5200,"version":1})");
+      absl::StrCat(R"({"kvHandle":")", handle, R"(","tokens":5200,"version":1})");
   const std::string fields = absl::StrCat("Attempt-Id: ", exchange.Field("Attempt-Id"),
                                           "\r\nContent-Type: application/json\r\n");
-  (void)server;
   if (!exchange.Answer(200, fields, body)) exchange.CloseAfter();
 }
 
 void AnswerStream(ServerExchange& exchange, const std::string& server, TrafficLedger& ledger,
                   const TrafficOptions& options) {
+  if (!TakePrompt(exchange)) return;
   const std::string id = exchange.Field("Attempt-Id");
   ledger[id].runs.push_back(server);
   int after = 0;
   (void)absl::SimpleAtoi(exchange.Field("Last-Event-Id"), &after);
-  bool open = exchange.Write(absl::StrCat("HTTP/1.1 200 OK\r\n", SealedFields(exchange, server),
-                                          "Content-Type: text/event-stream\r\n",
-                                          "Transfer-Encoding: chunked\r\n\r\n"));
+  bool open =
+      exchange.Write(absl::StrCat("HTTP/1.1 200 OK\r\n", SealedFields(exchange, server),
+                                  "Content-Type: text/event-stream\r\nWeight-Versions: 1\r\n",
+                                  "Transfer-Encoding: chunked\r\n\r\n"));
   for (int n = after + 1; n <= options.events && open; ++n) {
     open = exchange.Work(options.event_gap);
     const std::string event = StreamEvent(id, n);
@@ -83,8 +124,8 @@
   }
   request.time_left = absl::Seconds(14);
   request.patience = kStreamPatience;
-  request.fields =
-      absl::StrCat(kStreamFields, "Prompt-Prefix: 5c1e07a2:200,", request.id, "0:5000\r\n");
+  request.fields = absl::StrCat(kStreamFields, "Prompt-Prefix: 5c1e07a2:200,91bd",
+                                request.id.substr(1), ":5000\r\n");
   request.body = std::string(kStreamBodyBytes, 'p');
   return request;
 }
--- a/review/harness/traffic.h
+++ b/review/harness/traffic.h
@@ -47,8 +47,11 @@
 /// Answers a plain request after `work`, and notes the run.
 void AnswerPlain(ServerExchange& exchange, const std::string& server, TrafficLedger& ledger,
                  absl::Duration work);
-/// Reads the prompt of a request and answers with a handle.
-void AnswerPrefill(ServerExchange& exchange, const std::string& server);
+/// Takes the KV cache that the request names, or reads the prompt when it names none. False when
+/// the request has been refused since the cache is gone, or when the router has left.
+bool TakePrompt(ServerExchange& exchange);
+/// Reads the prompt of a request and answers with a handle, or frees a handle.
+void AnswerPrefill(ServerExchange& exchange);
 /// Streams all events, and notes the run.
 void AnswerStream(ServerExchange& exchange, const std::string& server, TrafficLedger& ledger,
                   const TrafficOptions& options);
