--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -133,8 +133,14 @@
       for (int vm = 0; vm < deployment_.vms(); ++vm) {
         const std::size_t memory = deployment_.vm(vm).Memory();
         highest_memory_ = std::max(highest_memory_, memory);
-        if (deployment_.vm(vm).Running() && memory <= kMemoryLimit) continue;
         if (restarting_.contains(vm)) continue;
+        if (!deployment_.vm(vm).Running()) {
+          // Such an end is not the one that this case is about, e.g. a port that is taken.
+          record_.Say("platform: VM ", vm, " has ended without a cause that this case knows");
+          ended_otherwise_ = true;
+          restarting_.insert(vm);
+        }
+        if (memory <= kMemoryLimit) continue;
         record_.Say("platform: VM ", vm, " holds ", memory >> 20, " MB, killed");
         ++ends_[vm];
         deployment_.vm(vm).Kill();
@@ -168,6 +174,7 @@
     record_.Say("answered ", answered, " of ", ledger_.size(),
                 "; broken off although sound servers ran them: ", broken_off,
                 "; highest memory: ", highest_memory_ >> 20, " MB of ", kMemoryLimit >> 20);
+    if (ended_otherwise_) return 2;
     const bool broken = machines >= kMachines;
     record_.Say(broken ? "BROKEN: Fault" : "held");
     return broken ? 1 : 0;
@@ -181,6 +188,7 @@
   TrafficSource source_;
   std::set<int> restarting_;
   bool in_trouble_ = false;
+  bool ended_otherwise_ = false;
   int answers_ = 0;
   int endless_answers_ = 0;
   // Ends of the process of each VM, with no disruption at the VM.
--- a/review/harness/deployment.cc
+++ b/review/harness/deployment.cc
@@ -83,7 +83,8 @@
   (void)store_listener_.Start("127.0.0.1:0");
   store_.Put("keyed.op", "config", Configuration());
   for (int i = 0; i < options_.vms; ++i) {
-    const std::string ip = absl::StrCat("127.0.1.", i + 1);
+    const std::string ip =
+        absl::StrCat("127.", 1 + getpid() / 250 % 250, ".", 1 + getpid() % 250, ".", i + 1);
     vms_.push_back({ip, FreePorts(ip, kPortsPerVm), std::make_unique<Daemon>()});
   }
 }
