Bound what peers send, for each connection and in the sum of all

Cause: each reader bounded a part of a message, and nothing bounded the sum. The head of a chunk, its extension and trailers had no bound; the parser's bound of a head counts only what it has not consumed, so that a head of whole lines has no end either; an event of a resumable stream had none; a body was copied for each send; 1,173 connections of 96 KB are all the memory of a VM.

Ruled out: bounds for each connection alone (the sum exceeds the memory), and a shared limit without a threshold (nine large bodies leave nothing to small ones).

Change: a reader of our own feeds the parser, bounds what has no end yet and charges what a message takes to a budget of the process with a dynamic threshold, so that those who send little are served beside those who send much. What does not fit is refused with 503, not run, before its body is read. Bodies are passed on without a copy.

--- a/apps/marigoldquayd/platform_node.cc
+++ b/apps/marigoldquayd/platform_node.cc
@@ -2,6 +2,7 @@
 // which they are built; each uses only those before it.
 #include "platform_node.h"
 
+#include <malloc.h>
 #include <sys/resource.h>
 #include <sys/stat.h>
 
@@ -21,6 +22,7 @@
 #include "marigoldquay/fleet/presence_keeper.h"
 #include "marigoldquay/fleet/quarantine_keeper.h"
 #include "marigoldquay/fleet/role_keeper.h"
+#include "marigoldquay/net/memory_budget.h"
 #include "marigoldquay/platform/header_dialect.h"
 #include "marigoldquay/platform/node_settings.h"
 #include "marigoldquay/platform/service_handlers.h"
@@ -61,6 +63,15 @@
 // Memory that a connection with a request takes, with its stack.
 constexpr std::size_t kConnectionBytes = std::size_t{96} * 1024;
 constexpr std::size_t kOtherListenerConnections = 200;
+// Parts of the VM's memory that the connections of callers and backend servers, and the sessions of
+// VMs, may hold together, beside what each is always granted. The rest is for the stacks of the
+// fibers, for what the process knows and for the store's answers. Sessions have their own part, so
+// that large requests cannot end them.
+constexpr double kConnectionMemoryPart = 0.35;
+constexpr double kSessionMemoryPart = 0.25;
+// Larger blocks, e.g. bodies, are mapped one by one, so that the memory of each returns to the
+// system when it is freed. By default the C library raises this size up to 32 MB.
+constexpr int kMappedBlockBytes = 128 * 1024;
 
 const Logger& Log() {
   static const Logger logger("main");
@@ -79,6 +90,11 @@
   return std::min(descriptors, std::max<std::size_t>(settings.memory_bytes / kConnectionBytes, 32));
 }
 
+std::size_t PartOfMemory(const platform::NodeSettings& settings, double part) {
+  if (settings.memory_bytes == 0) return MemoryBudget::kUnlimited;
+  return static_cast<std::size_t>(static_cast<double>(settings.memory_bytes) * part);
+}
+
 FleetMember MakeSelf(const platform::NodeSettings& settings) {
   FleetMember self;
   self.instance = {settings.vm, RandomId()};
@@ -93,6 +109,8 @@
 /// Serves the metrics of this process.
 class MetricsHandler final : public HttpHandler {
  public:
+  explicit MetricsHandler(const MemoryBudget& memory) : memory_(memory) {}
+
   void Handle(HttpRequest& request, HttpReplyWriter& reply, Cancellation& cancellation,
               Yield yield) override {
     (void)request;
@@ -100,11 +118,18 @@
     MetricsRegistry::Global()
         .gauge("marigoldquay_log_lines_lost", "Log lines dropped since the start.")
         .Set(static_cast<std::int64_t>(LostLogLines()));
+    MetricsRegistry::Global()
+        .gauge("marigoldquay_net_memory_held_bytes", "Memory that connections hold together.")
+        .Set(static_cast<std::int64_t>(memory_.held()));
     HttpFields fields;
     fields.set(http::field::content_type, "text/plain; version=0.0.4");
     const auto sent = reply.SendReply(200, fields, MetricsRegistry::Global().RenderText(), yield);
     if (!sent) Log().Debug("metrics not sent: ", sent.error().message);
   }
+  ListenerLimits limits() const override { return SmallRequestLimits(); }
+
+ private:
+  const MemoryBudget& memory_;
 };
 
 class PlatformNode : private FeedSink {
@@ -113,7 +138,9 @@
       : settings_(std::move(settings)),
         settings_path_(std::move(settings_path)),
         signals_(io_, SIGTERM, SIGINT, SIGHUP),
-        connections_(io_, clock_),
+        memory_(PartOfMemory(settings_, kConnectionMemoryPart)),
+        session_memory_(PartOfMemory(settings_, kSessionMemoryPart)),
+        connections_(io_, clock_, memory_),
         store_(connections_, settings_.store),
         self_(MakeSelf(settings_)),
         balancer_(settings_.availability_zone, health_),
@@ -129,11 +156,13 @@
                       [this](const ServerDeparture& departure) { OnDeparture(departure); },
                       [this](std::uint64_t version, const std::string& record) {
                         OnCatalog(version, record);
-                      }}),
+                      }},
+                     session_memory_),
         link_(io_, clock_, view_, presence_, *this,
               {[this] { return Self(); }, [this] { return OwnOrigin(); },
                [this] { return store_.era(); },
-               [this](absl::string_view vm) { return coordinator_.IsReporting(vm); }}),
+               [this](absl::string_view vm) { return coordinator_.IsReporting(vm); }},
+              session_memory_),
         role_keeper_(
             io_, clock_, view_, store_, dialect_, connections_, coordinator_,
             {self_.instance.ToString(), settings_.order_lease, [this] { return MayOrder(); }}),
@@ -151,10 +180,11 @@
             },
             [this] { return std::min(kAddressMaxAge, settings_.address_max_age); }),
         readiness_([this] { return ready(); }),
-        front_listener_(io_, front_, MaxConnections(settings_)),
-        readiness_listener_(io_, readiness_, kOtherListenerConnections),
-        directory_listener_(io_, directory_, kOtherListenerConnections),
-        metrics_listener_(io_, metrics_, kOtherListenerConnections) {}
+        metrics_(memory_),
+        front_listener_(io_, front_, MaxConnections(settings_), memory_),
+        readiness_listener_(io_, readiness_, kOtherListenerConnections, memory_),
+        directory_listener_(io_, directory_, kOtherListenerConnections, memory_),
+        metrics_listener_(io_, metrics_, kOtherListenerConnections, memory_) {}
 
   int Run() {
     ApplyBounds();
@@ -165,7 +195,8 @@
         .Add("callers", settings_.caller_listen)
         .Add("inner", self_.inner_address)
         .Add("store", settings_.store.address)
-        .Add("max_connections", static_cast<std::int64_t>(MaxConnections(settings_)));
+        .Add("max_connections", static_cast<std::int64_t>(MaxConnections(settings_)))
+        .Add("connection_memory_bytes", static_cast<std::int64_t>(memory_.capacity()));
     Log().Event("start", fields);
     const auto spawn = [this](const char* name, auto&& body) { SpawnFiber(io_, name, body); };
     spawn("follow catalog", [this](Yield yield) { catalog_follower_.Run(yield); });
@@ -372,6 +403,8 @@
   asio::io_context io_;
   asio::signal_set signals_;
   const SystemClock clock_;
+  MemoryBudget memory_;
+  MemoryBudget session_memory_;
   ConnectionPool connections_;
   platform::StoreClient store_;
   platform::HeaderDialect dialect_;
@@ -403,6 +436,7 @@
 
 int RunPlatformNode(const std::string& settings_path, const std::string& log_level) {
   std::signal(SIGPIPE, SIG_IGN);
+  (void)mallopt(M_MMAP_THRESHOLD, kMappedBlockBytes);
   InitializeBufferedLogging(log_level, LogBounds{});
   auto settings = platform::ReadNodeSettings(settings_path);
   if (!settings) {
--- a/packages/fleet/include/marigoldquay/fleet/coordinator.h
+++ b/packages/fleet/include/marigoldquay/fleet/coordinator.h
@@ -56,8 +56,10 @@
 /// thread-safe: all fibers run on `io`.
 class Coordinator {
  public:
+  /// The sessions charge what they hold to `memory`.
   Coordinator(asio::io_context& io, const Clock& clock, const ClusterView& view,
-              const MemberSource& source, FleetMember self, CoordinatorHooks hooks);
+              const MemberSource& source, FleetMember self, CoordinatorHooks hooks,
+              MemoryBudget& memory);
 
   /// Listens for VMs. Errors: kInvalidArgument for a malformed address, kUnavailable when it cannot
   /// be bound.
@@ -182,6 +184,7 @@
   const MemberSource& source_;
   const FleetMember self_;
   const CoordinatorHooks hooks_;
+  MemoryBudget& memory_;
   Tcp::acceptor acceptor_;
   asio::steady_timer state_timer_;
   // Owned by the fibers that run Serve.
--- a/packages/fleet/include/marigoldquay/fleet/coordinator_link.h
+++ b/packages/fleet/include/marigoldquay/fleet/coordinator_link.h
@@ -58,8 +58,10 @@
                               public QuotaGate,
                               public FeedMonitor {
  public:
+  /// The session charges what it holds to `memory`.
   CoordinatorLink(asio::io_context& io, const Clock& clock, const ClusterView& view,
-                  const MemberSource& source, FeedSink& feed, CoordinatorLinkHooks hooks);
+                  const MemberSource& source, FeedSink& feed, CoordinatorLinkHooks hooks,
+                  MemoryBudget& memory);
 
   /// Connects to a coordinator and reconnects after each session, until the process ends.
   void Run(Yield yield);
@@ -225,6 +227,7 @@
   const MemberSource& source_;
   FeedSink& feed_;
   const CoordinatorLinkHooks hooks_;
+  MemoryBudget& memory_;
   const absl::Time start_time_;
   // Random factor, 0 to 1, that keeps many VMs from acting at the same moment.
   const double jitter_;
--- a/packages/fleet/include/marigoldquay/fleet/frame_connection.h
+++ b/packages/fleet/include/marigoldquay/fleet/frame_connection.h
@@ -8,6 +8,7 @@
 #include "absl/time/time.h"
 #include "marigoldquay/core/error_or.h"
 #include "marigoldquay/net/async.h"
+#include "marigoldquay/net/memory_budget.h"
 #include "marigoldquay/protocol/codec.h"
 #include "marigoldquay/protocol/frame.h"
 
@@ -18,15 +19,18 @@
 using FrameConnectionPtr = std::shared_ptr<FrameConnection>;
 
 /// Queues writes without blocking and reads in one fiber. The connection is closed when the write
-/// queue exceeds its limit because the peer does not read.
+/// queue exceeds its limit because the peer does not read, or when the memory budget is used up.
 class FrameConnection : public std::enable_shared_from_this<FrameConnection> {
  public:
-  static FrameConnectionPtr Make(Tcp::socket socket);
+  /// Charges what it holds to `memory`, which must outlive it.
+  static FrameConnectionPtr Make(Tcp::socket socket,
+                                 MemoryBudget& memory = MemoryBudget::Unlimited());
 
   /// Connects to another VM. Fails with kNotSent for a malformed address, a failed connect or when
   /// `timeout` expires.
   static ErrorOr<FrameConnectionPtr> Connect(asio::io_context& io, const Address& peer,
-                                             absl::Duration timeout, Yield yield);
+                                             absl::Duration timeout, MemoryBudget& memory,
+                                             Yield yield);
 
   /// Encodes a frame, e.g. once to send it on several connections.
   template <class ObjectT>
@@ -53,7 +57,10 @@
   const std::string& peer() const { return peer_; }
 
  private:
-  explicit FrameConnection(Tcp::socket socket);
+  FrameConnection(Tcp::socket socket, MemoryBudget& memory);
+
+  // Charges the bytes held both ways and `more`; false when the memory budget does not grant them.
+  [[nodiscard]] bool Charge(std::size_t more);
 
   void WriteNext();
 
@@ -61,6 +68,7 @@
   asio::steady_timer read_timer_;
   std::string peer_;
   FrameDecoder decoder_;
+  MemoryHolding memory_;
   // Bytes to send after the write in progress.
   std::string queued_bytes_;
   std::string in_flight_bytes_;
--- a/packages/fleet/src/coordinator.cc
+++ b/packages/fleet/src/coordinator.cc
@@ -53,13 +53,15 @@
 }  // namespace
 
 Coordinator::Coordinator(asio::io_context& io, const Clock& clock, const ClusterView& view,
-                         const MemberSource& source, FleetMember self, CoordinatorHooks hooks)
+                         const MemberSource& source, FleetMember self, CoordinatorHooks hooks,
+                         MemoryBudget& memory)
     : io_(io),
       clock_(clock),
       view_(view),
       source_(source),
       self_(std::move(self)),
       hooks_(std::move(hooks)),
+      memory_(memory),
       acceptor_(io),
       state_timer_(io) {}
 
@@ -97,7 +99,7 @@
 
 void Coordinator::Serve(Tcp::socket socket, Yield yield) {
   Session session;
-  session.connection = FrameConnection::Make(std::move(socket));
+  session.connection = FrameConnection::Make(std::move(socket), memory_);
   sessions_.insert(&session);
   std::string reason;
   const absl::Cleanup end = [&] { EndSession(session, reason); };
--- a/packages/fleet/src/coordinator_link.cc
+++ b/packages/fleet/src/coordinator_link.cc
@@ -53,13 +53,14 @@
 
 CoordinatorLink::CoordinatorLink(asio::io_context& io, const Clock& clock, const ClusterView& view,
                                  const MemberSource& source, FeedSink& feed,
-                                 CoordinatorLinkHooks hooks)
+                                 CoordinatorLinkHooks hooks, MemoryBudget& memory)
     : io_(io),
       clock_(clock),
       view_(view),
       source_(source),
       feed_(feed),
       hooks_(std::move(hooks)),
+      memory_(memory),
       start_time_(clock.Now()),
       jitter_(RandomFraction()),
       session_end_time_(start_time_),
@@ -127,7 +128,7 @@
       continue;
     }
     auto connection =
-        FrameConnection::Connect(io_, candidate->inner_address, kConnectTimeout, yield);
+        FrameConnection::Connect(io_, candidate->inner_address, kConnectTimeout, memory_, yield);
     if (!connection) {
       backoff_until_[candidate->inner_address] = clock_.Now() + kBackoff;
       Log().Event("coordinator_unreachable", LogFields()
@@ -226,7 +227,7 @@
   // The current session continues while the new connection is established.
   SpawnFiber(io_, "switch coordinator", [this, preferred](Yield yield) {
     auto connection =
-        FrameConnection::Connect(io_, preferred.inner_address, kConnectTimeout, yield);
+        FrameConnection::Connect(io_, preferred.inner_address, kConnectTimeout, memory_, yield);
     switching_ = false;
     if (connection && connection_) {
       ReplaceConnection(std::move(*connection), preferred);
--- a/packages/fleet/src/frame_connection.cc
+++ b/packages/fleet/src/frame_connection.cc
@@ -22,18 +22,27 @@
 
 }  // namespace
 
-FrameConnection::FrameConnection(Tcp::socket socket)
-    : socket_(std::move(socket)), read_timer_(socket_.get_executor()), peer_(PeerName(socket_)) {
+FrameConnection::FrameConnection(Tcp::socket socket, MemoryBudget& memory)
+    : socket_(std::move(socket)),
+      read_timer_(socket_.get_executor()),
+      peer_(PeerName(socket_)),
+      memory_(memory) {
   boost::system::error_code ignored;  // Optional: only affects latency.
   socket_.set_option(Tcp::no_delay(true), ignored);
 }
 
-FrameConnectionPtr FrameConnection::Make(Tcp::socket socket) {
-  return FrameConnectionPtr(new FrameConnection(std::move(socket)));
+FrameConnectionPtr FrameConnection::Make(Tcp::socket socket, MemoryBudget& memory) {
+  return FrameConnectionPtr(new FrameConnection(std::move(socket), memory));
+}
+
+bool FrameConnection::Charge(std::size_t more) {
+  return memory_.Resize(decoder_.buffered_bytes() + queued_bytes_.size() + in_flight_bytes_.size() +
+                        more);
 }
 
 ErrorOr<FrameConnectionPtr> FrameConnection::Connect(asio::io_context& io, const Address& peer,
-                                                     absl::Duration timeout, Yield yield) {
+                                                     absl::Duration timeout, MemoryBudget& memory,
+                                                     Yield yield) {
   const auto endpoint = ParseEndpoint(peer);
   if (!endpoint) return Error{ErrorCode::kNotSent, "connect to VM", peer, "malformed address"};
   Tcp::socket socket(io);
@@ -51,12 +60,12 @@
   if (error || !socket.is_open()) {
     return Error{ErrorCode::kNotSent, "connect to VM", peer, error ? error.message() : "timed out"};
   }
-  return Make(std::move(socket));
+  return Make(std::move(socket), memory);
 }
 
 void FrameConnection::SendBytes(const std::string& bytes) {
   if (!open_) return;
-  if (queued_bytes_.size() + bytes.size() > kMaxQueuedBytes) {
+  if (queued_bytes_.size() + bytes.size() > kMaxQueuedBytes || !Charge(bytes.size())) {
     Close();
     return;
   }
@@ -71,6 +80,8 @@
       socket_, asio::buffer(in_flight_bytes_),
       [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
         self->write_in_progress_ = false;
+        self->in_flight_bytes_ = {};
+        (void)self->Charge(0);  // A decrease is always granted.
         if (error) {
           self->Close();
         } else if (!self->queued_bytes_.empty()) {
@@ -88,6 +99,10 @@
       return *error;
     }
     if (auto& frame = std::get<0>(next)) return std::move(*frame);
+    if (!Charge(kReadChunkBytes)) {
+      Close();
+      return Error{ErrorCode::kResourceExhausted, "read from VM", peer_, "no memory for a frame"};
+    }
     // The timer handler keeps the connection alive until it has run.
     read_timer_.expires_at(until);
     read_timer_.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
--- a/packages/net/include/marigoldquay/net/async.h
+++ b/packages/net/include/marigoldquay/net/async.h
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <optional>
 #include <string>
@@ -28,6 +29,8 @@
 using Yield = const asio::yield_context&;
 using HttpFields = http::fields;
 using HttpRequest = http::request<http::string_body>;
+/// A request whose body is that of another one, which must outlive it.
+using ForwardedRequest = http::request<http::span_body<const char>>;
 
 /// Starts a fiber. An exception thrown by `body` is logged with `name` and ends only that fiber.
 void SpawnFiber(asio::io_context& io, std::string name, absl::AnyInvocable<void(Yield)> body);
--- a/packages/net/include/marigoldquay/net/fwd.h
+++ b/packages/net/include/marigoldquay/net/fwd.h
@@ -10,6 +10,8 @@
 class HttpHandler;
 class HttpListener;
 class HttpReplyWriter;
+class MemoryBudget;
+class MemoryHolding;
 struct HttpReply;
 struct ListenerLimits;
 
--- a/packages/net/include/marigoldquay/net/http_connection.h
+++ b/packages/net/include/marigoldquay/net/http_connection.h
@@ -2,7 +2,6 @@
 #ifndef MARIGOLDQUAY_NET_HTTP_CONNECTION_H_
 #define MARIGOLDQUAY_NET_HTTP_CONNECTION_H_
 
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -16,6 +15,8 @@
 #include "marigoldquay/core/clock.h"
 #include "marigoldquay/core/error_or.h"
 #include "marigoldquay/net/async.h"
+#include "marigoldquay/net/memory_budget.h"
+#include "marigoldquay/net/message_reader.h"
 
 namespace marigoldquay {
 
@@ -28,17 +29,26 @@
 
 /// A client connection, used by one fiber at a time. Operations fail with kNotSent when no byte of
 /// the request can have been sent, kTimeout when no response arrived in time, kUnavailable when the
-/// connection was lost and kProtocol for malformed responses.
+/// connection was lost, kProtocol for malformed responses, also those with a part that does not end
+/// within its bound, and kResourceExhausted when the memory budget does not allow to read on.
 class HttpConnection {
  public:
   /// Parser for a response whose body is read incrementally.
   using ResponseParser = http::response_parser<http::buffer_body>;
 
-  HttpConnection(asio::io_context& io, Address peer) : stream_(io), peer_(std::move(peer)) {}
+  /// Largest head of a response, head of a chunk and trailer, in bytes.
+  static constexpr std::size_t kMaxHeadBytes = std::size_t{16} * 1024;
+  /// Largest response to a call that returns a few values, in bytes.
+  static constexpr std::size_t kMaxShortReplyBytes = std::size_t{16} * 1024;
+
+  HttpConnection(asio::io_context& io, Address peer,
+                 MemoryBudget& memory = MemoryBudget::Unlimited())
+      : stream_(io), reader_(stream_, memory), peer_(std::move(peer)) {}
 
   ErrorOrVoid Connect(absl::Duration timeout, Yield yield);
   /// Sends a complete request.
   ErrorOrVoid Send(const HttpRequest& request, absl::Duration timeout, Yield yield);
+  ErrorOrVoid Send(const ForwardedRequest& request, absl::Duration timeout, Yield yield);
   /// Reads the header of the response to the last request.
   ErrorOrVoid ReadHeader(ResponseParser& parser, absl::Duration timeout, Yield yield);
   /// Reads part of the body into `chunk`; an empty chunk with parser.is_done() marks the end.
@@ -47,6 +57,12 @@
   /// Reads a complete response with a body of at most `limit` bytes.
   ErrorOr<HttpReply> ReadReply(std::size_t limit, absl::Duration timeout, Yield yield);
 
+  /// Charges `bytes` of the response that are kept beside this connection to the memory budget, in
+  /// place of those charged before. Returns false when they are too many.
+  [[nodiscard]] bool ChargeKeptBody(std::size_t bytes) { return reader_.ChargeBody(bytes); }
+  /// Gives back the memory of the last response.
+  void EndResponse() { reader_.EndMessage(); }
+
   /// False when the connection is closed, also by the peer, or has received unsolicited bytes.
   bool IsReusable();
   /// Cancels all pending operations; the connection cannot be used afterwards.
@@ -61,9 +77,11 @@
 
  private:
   Error MakeError(const boost::system::error_code& error, absl::string_view operation) const;
+  template <class Request>
+  ErrorOrVoid SendRequest(const Request& request, absl::Duration timeout, Yield yield);
 
   beast::tcp_stream stream_;
-  beast::flat_buffer buffer_;
+  internal::MessageReader reader_;
   Address peer_;
   bool open_ = false;
 };
@@ -73,7 +91,10 @@
  public:
   static constexpr std::size_t kMaxIdlePerPeer = 32;
 
-  ConnectionPool(asio::io_context& io, const Clock& clock) : io_(io), clock_(clock) {}
+  /// The connections charge what they hold to `memory`, which must outlive them.
+  ConnectionPool(asio::io_context& io, const Clock& clock,
+                 MemoryBudget& memory = MemoryBudget::Unlimited())
+      : io_(io), clock_(clock), memory_(memory) {}
 
   /// Removes and returns a reusable connection to `peer`; null if there is none.
   std::unique_ptr<HttpConnection> TakeIdle(const Address& peer);
@@ -90,13 +111,15 @@
  private:
   asio::io_context& io_;
   const Clock& clock_;
+  MemoryBudget& memory_;
   std::map<Address, std::deque<std::unique_ptr<HttpConnection>>> idle_;
 };
 
-/// Sends a request on an idle or new connection and reads the complete response. `timeout` applies
-/// to each step: connect, send and read.
+/// Sends a request on an idle or new connection and reads the complete response with a body of at
+/// most `limit` bytes. `timeout` applies to each step: connect, send and read.
 ErrorOr<HttpReply> CallHttp(ConnectionPool& pool, const Address& peer, const HttpRequest& request,
-                            absl::Duration timeout, Yield yield);
+                            absl::Duration timeout, Yield yield,
+                            std::size_t limit = HttpConnection::kMaxShortReplyBytes);
 
 }  // namespace marigoldquay
 
--- a/packages/net/include/marigoldquay/net/http_listener.h
+++ b/packages/net/include/marigoldquay/net/http_listener.h
@@ -11,6 +11,7 @@
 #include "marigoldquay/core/error_or.h"
 #include "marigoldquay/net/async.h"
 #include "marigoldquay/net/cancellation.h"
+#include "marigoldquay/net/memory_budget.h"
 
 namespace marigoldquay {
 
@@ -26,6 +27,14 @@
   bool operator==(const ListenerLimits&) const = default;
 };
 
+/// Limits of listeners whose requests are a line and a few fields.
+inline ListenerLimits SmallRequestLimits() {
+  ListenerLimits limits;
+  limits.header_bytes = std::size_t{8} * 1024;
+  limits.body_bytes = std::size_t{8} * 1024;
+  return limits;
+}
+
 /// Sends the response to a request. Calls fail when the caller has disconnected.
 class HttpReplyWriter {
  public:
@@ -58,7 +67,7 @@
   /// Responds to one request. `cancellation` is triggered when its caller disconnects.
   virtual void Handle(HttpRequest& request, HttpReplyWriter& reply, Cancellation& cancellation,
                       Yield yield) = 0;
-  /// Limits for the next request.
+  /// Limits for the next request. A request whose memory is not granted is answered 503.
   virtual ListenerLimits limits() const { return {}; }
   /// Whether connections close after their current response.
   virtual bool closing() const { return false; }
@@ -73,7 +82,9 @@
 /// the listener.
 class HttpListener {
  public:
-  HttpListener(asio::io_context& io, HttpHandler& handler, std::size_t max_connections);
+  /// The connections charge what they hold to `memory`, which must outlive them.
+  HttpListener(asio::io_context& io, HttpHandler& handler, std::size_t max_connections,
+               MemoryBudget& memory = MemoryBudget::Unlimited());
   ~HttpListener();
 
   /// Fails with kUnavailable when the address cannot be bound.
--- a/packages/net/src/caller_connection.cc
+++ b/packages/net/src/caller_connection.cc
@@ -1,8 +1,8 @@
 // Request loop of an accepted connection.
 #include "caller_connection.h"
 
+#include <array>
 #include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <list>
 #include <utility>
@@ -16,17 +16,31 @@
 constexpr absl::Duration kWriteTimeout = absl::Seconds(30);
 // Maximum bytes of later requests to buffer while one is handled; the rest stays in the socket.
 constexpr std::size_t kMaxReadAheadBytes = std::size_t{64} * 1024;
-constexpr std::size_t kInitialReadBytes = std::size_t{8} * 1024;
 constexpr std::size_t kReadAheadChunkBytes = std::size_t{4} * 1024;
+// Steps in which the memory of a body of unknown length is charged.
+constexpr std::size_t kBodyStepBytes = std::size_t{64} * 1024;
+// A caller that has not taken the answer to a rejected request by then loses it.
+constexpr absl::Duration kDiscardTimeout = absl::Seconds(2);
+// Large, as the bytes of a large body cost a read each time.
+constexpr std::size_t kDiscardBytes = std::size_t{64} * 1024;
+// Large requests take some tenths of a second to be served.
+constexpr char kMemoryRetryAfter[] = "0.50";
 
 struct Rejection {
   unsigned status = 0;
   const char* reason = "";
+  // Value of Retry-After in seconds; empty when the request is not to be repeated.
+  const char* retry_after = "";
 };
 
 // Response to a request that could not be read; status 0 closes the connection without one.
 Rejection RejectionFor(const boost::system::error_code& error) {
-  if (error == http::error::header_limit) return {431, "the request head is too large"};
+  if (error == http::error::header_limit) {
+    return {431, "the request head, the head of a chunk or the trailer is too large"};
+  }
+  if (error == OutOfMemory()) {
+    return {503, "too many large requests at once", kMemoryRetryAfter};
+  }
   if (error == http::error::body_limit) return {413, "the request body is too large"};
   if (error == http::error::end_of_stream || error == http::error::partial_message) return {};
   if (error == beast::error::timeout) return {408, "the request did not arrive in time"};
@@ -43,8 +57,12 @@
 }  // namespace
 
 DisconnectWatch::DisconnectWatch(asio::io_context& io, beast::tcp_stream& stream,
-                                 beast::flat_buffer& buffer, Cancellation& cancellation)
-    : stream_(stream), buffer_(buffer), cancellation_(cancellation), stopped_(io) {}
+                                 MessageReader& reader, Cancellation& cancellation)
+    : stream_(stream),
+      reader_(reader),
+      buffer_(reader.buffer()),
+      cancellation_(cancellation),
+      stopped_(io) {}
 
 void DisconnectWatch::Start() {
   stopped_.expires_at(asio::steady_timer::time_point::max());
@@ -53,9 +71,11 @@
 
 void DisconnectWatch::ReadMore() {
   if (buffer_.size() >= kMaxReadAheadBytes) return;
+  // The first piece needs no grant: without a read, the end of the stream is not detected.
+  if (buffer_.size() > 0 && !reader_.ChargeRead(kReadAheadChunkBytes)) return;
   reading_ = true;
   stream_.socket().async_read_some(
-      buffer_.prepare(kReadAheadChunkBytes),
+      reader_.Prepare(kReadAheadChunkBytes),
       [this](const boost::system::error_code& error, std::size_t count) { OnRead(error, count); });
 }
 
@@ -181,7 +201,7 @@
 class ConnectionServer {
  public:
   ConnectionServer(HttpListener::SharedStatePtr shared, Tcp::socket socket)
-      : shared_(std::move(shared)), stream_(std::move(socket)) {}
+      : shared_(std::move(shared)), stream_(std::move(socket)), reader_(stream_, shared_->memory) {}
 
   void Run(Yield yield) {
     boost::system::error_code ignored;  // Optional: only affects latency.
@@ -198,50 +218,84 @@
   bool ServeNextRequest(Yield yield) {
     const ListenerLimits limits = shared_->handler->limits();
     if (!AwaitFirstByte(limits, yield)) return false;
-    Parser parser;
-    parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
-    parser.body_limit(limits.body_bytes);
-    const auto error = ReadRequest(parser, limits, yield);
+    HttpRequest request;
+    const auto error = ReadRequest(request, limits, yield);
     if (shared_->handler == nullptr) return false;
     if (error) {
-      Reject(RejectionFor(error), yield);
+      Reject(RejectionFor(error), limits, yield);
       return false;
     }
-    HttpRequest request = parser.release();
-    return HandleRequest(request, yield);
+    const bool reusable = HandleRequest(request, yield);
+    // The charge for the request ends with it.
+    request = {};
+    reader_.EndMessage();
+    return reusable;
   }
 
   bool AwaitFirstByte(const ListenerLimits& limits, Yield yield) {
-    if (buffer_.size() > 0) return true;
+    auto& buffer = reader_.buffer();
+    if (buffer.size() > 0) return true;
     const auto position = shared_->idle_streams.insert(shared_->idle_streams.end(), &stream_);
     boost::system::error_code error;
     stream_.expires_after(ToChrono(limits.idle_timeout));
-    const auto count = stream_.async_read_some(buffer_.prepare(kInitialReadBytes), yield[error]);
+    const auto space = reader_.Prepare(MessageReader::kReadBytes);
+    const auto count = stream_.async_read_some(space, yield[error]);
     shared_->idle_streams.erase(position);
     if (error) return false;
-    buffer_.commit(count);
+    buffer.commit(count);
     return true;
   }
 
-  boost::system::error_code ReadRequest(Parser& parser, const ListenerLimits& limits, Yield yield) {
-    boost::system::error_code error;
+  // What was read of a request that fails is freed when this returns.
+  boost::system::error_code ReadRequest(HttpRequest& request, const ListenerLimits& limits,
+                                        Yield yield) {
+    Parser parser;
+    parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+    parser.body_limit(limits.body_bytes);
+    reader_.StartMessage(limits.header_bytes);
+    const auto error = ReadParts(parser, limits, yield);
+    if (!error) request = parser.release();
+    return error;
+  }
+
+  boost::system::error_code ReadParts(Parser& parser, const ListenerLimits& limits, Yield yield) {
     stream_.expires_after(ToChrono(limits.header_timeout));
-    http::async_read_header(stream_, buffer_, parser, yield[error]);
+    auto error = reader_.ReadUntil(
+        parser, [&] { return parser.is_header_done(); }, yield);
     if (error) return error;
+    // A body that does not fit is refused before it is sent.
+    const std::uint64_t length = parser.content_length().value_or(0);
+    if (!reader_.ChargeBody(static_cast<std::size_t>(length))) return OutOfMemory();
     if (parser.get()[http::field::expect] == "100-continue" && !parser.is_done()) {
       http::response<http::empty_body> continue_response(http::status::continue_, 11);
       http::async_write(stream_, continue_response, yield[error]);
       if (error) return error;
     }
+    error = ReadBody(parser, limits, yield);
+    // The fields of a trailer are only known now.
+    if (!error && !reader_.ChargeRead(0)) return OutOfMemory();
+    return error;
+  }
+
+  boost::system::error_code ReadBody(Parser& parser, const ListenerLimits& limits, Yield yield) {
+    const auto& body = parser.get().body();
+    const bool length_known = parser.content_length().has_value();
+    std::size_t charged = 0;
     while (!parser.is_done()) {
+      const std::size_t received = body.size();
+      if (!length_known && received + MessageReader::kReadBytes > charged) {
+        charged = received + kBodyStepBytes;
+        if (!reader_.ChargeBody(charged)) return OutOfMemory();
+      }
       stream_.expires_after(ToChrono(limits.idle_timeout));
-      http::async_read_some(stream_, buffer_, parser, yield[error]);
+      const auto more_read = [&] { return parser.is_done() || body.size() > received; };
+      const auto error = reader_.ReadUntil(parser, more_read, yield);
       if (error) return error;
     }
     return {};
   }
 
-  void Reject(const Rejection& rejection, Yield yield) {
+  void Reject(const Rejection& rejection, const ListenerLimits& limits, Yield yield) {
     if (rejection.status == 0) return;
     shared_->handler->OnRejected(rejection.status, rejection.reason);
     HttpRequest unread_request;
@@ -249,25 +303,30 @@
     StreamReplyWriter reply(stream_, unread_request, true);
     HttpFields fields;
     fields.set(http::field::content_type, "application/json");
+    if (*rejection.retry_after != '\0') {
+      fields.set(http::field::retry_after, rejection.retry_after);
+    }
     const auto sent = reply.SendReply(rejection.status, fields, ErrorBody(rejection.reason), yield);
-    if (sent) DiscardUnreadInput(yield);
+    if (sent) DiscardUnreadInput(limits.header_bytes + limits.body_bytes, yield);
   }
 
-  // Discards unread input, which would reset the connection before the caller reads the response.
-  void DiscardUnreadInput(Yield yield) {
+  // Discards unread input, at most `limit` bytes: it would reset the connection before the caller
+  // reads the response.
+  void DiscardUnreadInput(std::size_t limit, Yield yield) {
     boost::system::error_code error;
     stream_.socket().shutdown(Tcp::socket::shutdown_send, error);
-    constexpr int kMaxReads = 64;
-    stream_.expires_after(std::chrono::milliseconds(500));
-    for (int i = 0; i < kMaxReads && !error; ++i) {
-      buffer_.clear();
-      stream_.async_read_some(buffer_.prepare(kInitialReadBytes), yield[error]);
+    stream_.expires_after(ToChrono(kDiscardTimeout));
+    reader_.Discard();
+    // Shared by all connections of the thread, as nobody looks at the bytes.
+    static thread_local std::array<char, kDiscardBytes> discarded_bytes;
+    for (std::size_t discarded = 0; discarded < limit && !error;) {
+      discarded += stream_.async_read_some(asio::buffer(discarded_bytes), yield[error]);
     }
   }
 
   bool HandleRequest(HttpRequest& request, Yield yield) {
     Cancellation cancellation;
-    DisconnectWatch watch(shared_->io, stream_, buffer_, cancellation);
+    DisconnectWatch watch(shared_->io, stream_, reader_, cancellation);
     StreamReplyWriter reply(stream_, request, shared_->handler->closing());
     stream_.expires_never();
     watch.Start();
@@ -287,7 +346,7 @@
   // Shared with the listener and all its connections.
   HttpListener::SharedStatePtr shared_;
   beast::tcp_stream stream_;
-  beast::flat_buffer buffer_;
+  MessageReader reader_;
 };
 
 }  // namespace
--- a/packages/net/src/caller_connection.h
+++ b/packages/net/src/caller_connection.h
@@ -3,7 +3,6 @@
 #ifndef MARIGOLDQUAY_NET_SRC_CALLER_CONNECTION_H_
 #define MARIGOLDQUAY_NET_SRC_CALLER_CONNECTION_H_
 
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -13,6 +12,7 @@
 #include <string>
 
 #include "marigoldquay/net/http_listener.h"
+#include "marigoldquay/net/message_reader.h"
 
 namespace marigoldquay::internal {
 
@@ -20,7 +20,7 @@
 /// cancels the current request at the end of the stream.
 class DisconnectWatch {
  public:
-  DisconnectWatch(asio::io_context& io, beast::tcp_stream& stream, beast::flat_buffer& buffer,
+  DisconnectWatch(asio::io_context& io, beast::tcp_stream& stream, MessageReader& reader,
                   Cancellation& cancellation);
   /// Starts reading.
   void Start();
@@ -33,6 +33,7 @@
   void OnRead(const boost::system::error_code& error, std::size_t count);
 
   beast::tcp_stream& stream_;
+  MessageReader& reader_;
   beast::flat_buffer& buffer_;
   Cancellation& cancellation_;
   asio::steady_timer stopped_;
@@ -83,14 +84,16 @@
 namespace marigoldquay {
 
 struct HttpListener::SharedState {
-  SharedState(asio::io_context& io, HttpHandler& handler, std::size_t max_connections)
-      : io(io), acceptor(io), handler(&handler), max_connections(max_connections) {}
+  SharedState(asio::io_context& io, HttpHandler& handler, std::size_t max_connections,
+              MemoryBudget& memory)
+      : io(io), acceptor(io), handler(&handler), max_connections(max_connections), memory(memory) {}
 
   asio::io_context& io;
   Tcp::acceptor acceptor;
   // Null after the listener is destroyed.
   HttpHandler* handler;
   const std::size_t max_connections;
+  MemoryBudget& memory;
   std::size_t connections = 0;
   std::size_t active_requests = 0;
   // Streams that are waiting for a request.
--- a/packages/net/src/http_connection.cc
+++ b/packages/net/src/http_connection.cc
@@ -4,7 +4,6 @@
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <cerrno>
 #include <utility>
@@ -15,9 +14,6 @@
 namespace {
 
 constexpr std::size_t kBodyChunkBytes = std::size_t{16} * 1024;
-// Response headers of backend servers and of the store are small.
-constexpr std::uint32_t kMaxHeaderBytes = 64 * 1024;
-constexpr std::size_t kMaxReplyBytes = std::size_t{8} << 20;
 // Idle connections are closed well before the usual timeout of a peer, since a request that is sent
 // while the peer closes the connection is lost.
 constexpr absl::Duration kMaxIdleTime = absl::Seconds(4);
@@ -44,12 +40,30 @@
   }
 }
 
+// Reads a message and charges its body in steps, as it may come in chunks of unknown number.
+boost::system::error_code ReadWhole(internal::MessageReader& reader,
+                                    http::response_parser<http::string_body>& parser, Yield yield) {
+  const auto& body = parser.get().body();
+  std::size_t charged = 0;
+  while (!parser.is_done()) {
+    charged = body.size() + kBodyChunkBytes;
+    if (!reader.ChargeBody(charged)) return internal::OutOfMemory();
+    const auto part_read = [&] {
+      return parser.is_done() || body.size() + internal::MessageReader::kReadBytes > charged;
+    };
+    const auto error = reader.ReadUntil(parser, part_read, yield);
+    if (error) return error;
+  }
+  return {};
+}
+
 }  // namespace
 
 Error HttpConnection::MakeError(const boost::system::error_code& error,
                                 absl::string_view operation) const {
   ErrorCode code = ErrorCode::kUnavailable;
   if (error == beast::error::timeout) code = ErrorCode::kTimeout;
+  if (error == internal::OutOfMemory()) code = ErrorCode::kResourceExhausted;
   if (error.category() == http::make_error_code(http::error::end_of_stream).category() &&
       error != http::error::end_of_stream && error != http::error::partial_message) {
     code = ErrorCode::kProtocol;
@@ -70,7 +84,9 @@
   return std::monostate();
 }
 
-ErrorOrVoid HttpConnection::Send(const HttpRequest& request, absl::Duration timeout, Yield yield) {
+template <class Request>
+ErrorOrVoid HttpConnection::SendRequest(const Request& request, absl::Duration timeout,
+                                        Yield yield) {
   boost::system::error_code error;
   stream_.expires_after(ToChrono(timeout));
   http::async_write(stream_, request, yield[error]);
@@ -78,13 +94,23 @@
   return std::monostate();
 }
 
+ErrorOrVoid HttpConnection::Send(const HttpRequest& request, absl::Duration timeout, Yield yield) {
+  return SendRequest(request, timeout, yield);
+}
+
+ErrorOrVoid HttpConnection::Send(const ForwardedRequest& request, absl::Duration timeout,
+                                 Yield yield) {
+  return SendRequest(request, timeout, yield);
+}
+
 ErrorOrVoid HttpConnection::ReadHeader(ResponseParser& parser, absl::Duration timeout,
                                        Yield yield) {
-  parser.header_limit(kMaxHeaderBytes);
+  parser.header_limit(kMaxHeadBytes);
   parser.body_limit(boost::none);
-  boost::system::error_code error;
   stream_.expires_after(ToChrono(timeout));
-  http::async_read_header(stream_, buffer_, parser, yield[error]);
+  reader_.StartMessage(kMaxHeadBytes);
+  const auto head_read = [&] { return parser.is_header_done(); };
+  const auto error = reader_.ReadUntil(parser, head_read, yield);
   if (error) return MakeError(error, "read response header");
   return std::monostate();
 }
@@ -95,12 +121,11 @@
   auto& body = parser.get().body();
   body.data = chunk.data();
   body.size = chunk.size();
-  boost::system::error_code error;
-  if (!parser.is_done()) {
-    stream_.expires_after(ToChrono(timeout));
-    http::async_read_some(stream_, buffer_, parser, yield[error]);
-    if (error == http::error::need_buffer) error = {};
-  }
+  stream_.expires_after(ToChrono(timeout));
+  const auto some_read = [&] { return body.size < chunk.size() || parser.is_done(); };
+  auto error = reader_.ReadUntil(parser, some_read, yield);
+  // The chunk is full.
+  if (error == http::error::need_buffer) error = {};
   chunk.resize(chunk.size() - body.size);
   if (error) return MakeError(error, "read response body");
   return std::monostate();
@@ -109,11 +134,11 @@
 ErrorOr<HttpReply> HttpConnection::ReadReply(std::size_t limit, absl::Duration timeout,
                                              Yield yield) {
   http::response_parser<http::string_body> parser;
-  parser.header_limit(kMaxHeaderBytes);
+  parser.header_limit(kMaxHeadBytes);
   parser.body_limit(limit);
-  boost::system::error_code error;
   stream_.expires_after(ToChrono(timeout));
-  http::async_read(stream_, buffer_, parser, yield[error]);
+  reader_.StartMessage(kMaxHeadBytes);
+  const auto error = ReadWhole(reader_, parser, yield);
   if (error) return MakeError(error, "read response");
   auto message = parser.release();
   if (!message.keep_alive()) Close();
@@ -125,7 +150,7 @@
 }
 
 bool HttpConnection::IsReusable() {
-  if (!open_ || buffer_.size() > 0) return false;
+  if (!open_ || reader_.buffer().size() > 0) return false;
   char byte = 0;
   const auto count = ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
@@ -154,11 +179,12 @@
 }
 
 std::unique_ptr<HttpConnection> ConnectionPool::MakeNew(const Address& peer) const {
-  return std::make_unique<HttpConnection>(io_, peer);
+  return std::make_unique<HttpConnection>(io_, peer, memory_);
 }
 
 void ConnectionPool::Put(std::unique_ptr<HttpConnection> connection, std::size_t max_idle) {
   if (!connection->IsReusable()) return;
+  connection->EndResponse();
   auto& connections = idle_[connection->peer()];
   if (connections.size() >= max_idle) return;
   connection->idle_since = clock_.Now();
@@ -184,7 +210,7 @@
 }
 
 ErrorOr<HttpReply> CallHttp(ConnectionPool& pool, const Address& peer, const HttpRequest& request,
-                            absl::Duration timeout, Yield yield) {
+                            absl::Duration timeout, Yield yield, std::size_t limit) {
   auto connection = pool.TakeIdle(peer);
   if (!connection) {
     auto opened = OpenConnection(pool, peer, timeout, yield);
@@ -193,7 +219,7 @@
   }
   const auto sent = connection->Send(request, timeout, yield);
   if (!sent) return sent.error();
-  auto reply = connection->ReadReply(kMaxReplyBytes, timeout, yield);
+  auto reply = connection->ReadReply(limit, timeout, yield);
   if (reply && connection->open()) pool.Put(std::move(connection));
   return reply;
 }
--- a/packages/net/src/http_listener.cc
+++ b/packages/net/src/http_listener.cc
@@ -41,8 +41,9 @@
 
 }  // namespace
 
-HttpListener::HttpListener(asio::io_context& io, HttpHandler& handler, std::size_t max_connections)
-    : io_(io), shared_(std::make_shared<SharedState>(io, handler, max_connections)) {}
+HttpListener::HttpListener(asio::io_context& io, HttpHandler& handler, std::size_t max_connections,
+                           MemoryBudget& memory)
+    : io_(io), shared_(std::make_shared<SharedState>(io, handler, max_connections, memory)) {}
 
 HttpListener::~HttpListener() {
   StopAccepting();
--- a/packages/protocol/include/marigoldquay/protocol/frame.h
+++ b/packages/protocol/include/marigoldquay/protocol/frame.h
@@ -67,6 +67,9 @@
   /// unusable and every later call fails likewise.
   Result<std::optional<Frame>> Next();
 
+  /// Bytes of frames that Next has not returned yet.
+  std::size_t buffered_bytes() const { return buffer_.size() - consumed_; }
+
  private:
   std::string buffer_;
   std::size_t consumed_ = 0;
--- a/packages/relay/include/marigoldquay/relay/backend_dialect.h
+++ b/packages/relay/include/marigoldquay/relay/backend_dialect.h
@@ -125,9 +125,10 @@
 
   /// Returns kInvalidArgument naming the field when a field is malformed or contradictory.
   virtual ErrorOr<RequestMetadata> DecodeRequestMetadata(const HttpRequest& request) const = 0;
-  /// Copies the caller's request and replaces the router's header fields according to `call`.
-  virtual HttpRequest MakeBackendRequest(const HttpRequest& request,
-                                         const BackendCall& call) const = 0;
+  /// Copies the head of the caller's request and replaces the router's header fields according to
+  /// `call`. The body is that of `request`, which must outlive the result.
+  virtual ForwardedRequest MakeBackendRequest(const HttpRequest& request,
+                                              const BackendCall& call) const = 0;
   virtual BackendResponse DecodeResponse(unsigned status, const HttpFields& fields) const = 0;
   /// Returns the header fields of a backend server's response that are forwarded to the caller.
   virtual HttpFields MakeCallerFields(const HttpFields& fields) const = 0;
--- a/packages/relay/src/backend_attempt.cc
+++ b/packages/relay/src/backend_attempt.cc
@@ -86,7 +86,7 @@
   may_have_reached_ = true;
   sent_at_ = state_.Now();
   CountBackendRequest(replica_.id);
-  const HttpRequest request = state_.context.dialect.MakeBackendRequest(state_.request, call);
+  const ForwardedRequest request = state_.context.dialect.MakeBackendRequest(state_.request, call);
   const auto sent = connection_->Send(request, options.head_timeout, yield);
   if (!sent) return FailExchange(sent.error());
   const auto read = ReadFinalHead(options.head_timeout, yield);
@@ -181,7 +181,7 @@
 ErrorOr<bool> BackendAttempt::ReadUpTo(std::size_t limit, std::string& body, Yield yield) {
   std::string chunk;
   while (!done()) {
-    if (body.size() >= limit) return false;
+    if (body.size() >= limit || !KeepBody(body.size() + chunk.capacity())) return false;
     const auto read = ReadSome(chunk, yield);
     if (!read) return read.error();
     body += chunk;
--- a/packages/relay/src/backend_attempt.h
+++ b/packages/relay/src/backend_attempt.h
@@ -49,9 +49,11 @@
   /// the response is incomplete; so is an event stream that ends inside an event.
   ErrorOrVoid ReadSome(std::string& chunk, Yield yield);
   bool done() const { return parser_->is_done(); }
-  /// Appends the rest of the body to `body`. Returns false when `body` has reached `limit` bytes
-  /// before the end; it then holds the part read so far.
+  /// Appends the rest of the body to `body`. Returns false when `body` has reached `limit` bytes,
+  /// or there is no memory to keep more, before the end; it then holds the part read so far.
   ErrorOr<bool> ReadUpTo(std::size_t limit, std::string& body, Yield yield);
+  /// Charges the memory for bytes of the body that are kept; false when they are too many.
+  [[nodiscard]] bool KeepBody(std::size_t bytes) { return connection_->ChargeKeptBody(bytes); }
 
   unsigned status() const { return parser_->get().result_int(); }
   const HttpFields& fields() const { return parser_->get().base(); }
--- a/packages/relay/src/event_splitter.cc
+++ b/packages/relay/src/event_splitter.cc
@@ -1,6 +1,8 @@
 // Finds the ends of events and parses their ids.
 #include "event_splitter.h"
 
+#include <algorithm>
+
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_replace.h"
@@ -25,15 +27,18 @@
 }
 
 std::string EventSplitter::Append(absl::string_view bytes) {
+  // What was searched before holds no end, but may hold the beginning of one.
+  std::size_t search_from = partial_.size() - std::min(partial_.size(), kTwoLineEndings - 1);
   partial_.append(bytes.data(), bytes.size());
   std::size_t complete_size = 0;
   while (true) {
-    const auto lf = partial_.find("\n\n", complete_size);
-    const auto crlf = partial_.find("\r\n\r\n", complete_size);
+    const auto lf = partial_.find("\n\n", search_from);
+    const auto crlf = partial_.find("\r\n\r\n", search_from);
     if (lf == std::string::npos && crlf == std::string::npos) break;
     const std::size_t end = lf < crlf ? lf + 2 : crlf + 4;
     ParseId(absl::string_view(partial_).substr(complete_size, end - complete_size));
     complete_size = end;
+    search_from = end;
   }
   std::string events = partial_.substr(0, complete_size);
   partial_.erase(0, complete_size);
--- a/packages/relay/src/event_splitter.h
+++ b/packages/relay/src/event_splitter.h
@@ -12,7 +12,7 @@
 
 namespace marigoldquay::internal {
 
-/// Buffers the bytes of an event until the event is complete.
+/// Buffers the bytes of an event until the event is complete. The caller limits its size.
 class EventSplitter {
  public:
   /// Appends received bytes and returns the bytes of all events that are now complete.
@@ -20,6 +20,8 @@
   /// Discards the buffered bytes of an incomplete event.
   void DiscardPartial() { partial_.clear(); }
   bool has_partial() const { return !partial_.empty(); }
+  /// Size of the incomplete event in bytes.
+  std::size_t partial_bytes() const { return partial_.size(); }
   /// Id of the last complete event that had a numeric id.
   std::optional<std::uint64_t> last_id() const { return last_id_; }
   void set_last_id(std::optional<std::uint64_t> id) { last_id_ = id; }
--- a/packages/relay/src/model_relay.cc
+++ b/packages/relay/src/model_relay.cc
@@ -23,6 +23,8 @@
 constexpr absl::Duration kPrefillConnectTimeout = absl::Milliseconds(120);
 constexpr absl::Duration kReleaseTimeout = absl::Milliseconds(500);
 constexpr std::size_t kMaxErrorBytes = std::size_t{64} * 1024;
+// Events hold a few tokens each.
+constexpr std::size_t kMaxEventBytes = std::size_t{256} * 1024;
 constexpr unsigned kTooManyRequests = 429;
 constexpr unsigned kBadGateway = 502;
 constexpr unsigned kUnavailable = 503;
@@ -241,7 +243,7 @@
     const auto sent = connection->Send(
         state_.context.dialect.MakeBackendRequest(state_.request, call), timeout, yield);
     if (!sent) return sent.error();
-    const auto reply = connection->ReadReply(kMaxErrorBytes, timeout, yield);
+    const auto reply = connection->ReadReply(HttpConnection::kMaxShortReplyBytes, timeout, yield);
     if (!reply) {
       CountPrefill(true);
       if (reply.error().code == ErrorCode::kUnavailable) CheckForCrash(state_, engine);
@@ -428,6 +430,11 @@
         state_.context.placer.OnFirstEvent(placement);
       }
       const std::string events = state_.route->resumable ? events_.Append(chunk) : chunk;
+      if (!HasRoomForEvent(attempt)) {
+        last_detail_ = absl::StrCat("event of over ", events_.partial_bytes(), " bytes");
+        guard.End(StreamEnd::kFailed);
+        return HandleInterruption(attempt.replica().id, yield);
+      }
       const auto sent = state_.reply.Append(events, yield);
       if (!sent) {
         state_.outcome = sent.error().message;
@@ -442,6 +449,12 @@
     return NextStep::kStop;
   }
 
+  // Whether the rest of the incomplete event may be kept as well.
+  bool HasRoomForEvent(BackendAttempt& attempt) const {
+    const std::size_t size = events_.partial_bytes();
+    return size <= kMaxEventBytes && attempt.KeepBody(size);
+  }
+
   NextStep ForwardErrorResponse(BackendAttempt& attempt, PlacementGuard& guard, Yield yield) {
     std::string body;
     const auto read = attempt.ReadUpTo(kMaxErrorBytes, body, yield);
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -47,6 +47,8 @@
   bool with_configuration = true;
   /// Share of a core that the VM has.
   std::function<double(int vm)> cpu_share = [](int) { return 0.25; };
+  /// Descriptors that the VM has.
+  int max_descriptors = 1000;
   /// Puts a LinkProxy before the store, one per VM, and before every backend server.
   bool proxied = false;
   std::string name = "world";
