Start in spite of a port in use or unfinished settings

What was seen: a process whose first inner port another program uses ends with 3 at each start; so it does when any other of its addresses is still in use, e.g. by the process before; with an empty or half-written settings file it ends with 2.

Ruled out: nothing else was found at the start; a SIGHUP before main runs still ends the process, as its default action holds until then (open).

Change: the first free port of the range is used, which other VMs learn with the member; listening is tried for 5 s, reading the settings for 2 s. Bad settings still end the process with 2 and name the field.

--- a/apps/marigoldquayd/platform_node.cc
+++ b/apps/marigoldquayd/platform_node.cc
@@ -38,6 +38,12 @@
 
 constexpr absl::Duration kAddressMaxAge = absl::Seconds(2);
 constexpr std::size_t kMaxAddresses = 24;
+// A process that has just been replaced may hold its addresses for a moment, and the settings file
+// may be half written; a process that ends for this is only started again. Longer failures need an
+// operator.
+constexpr absl::Duration kMaxListenDelay = absl::Seconds(5);
+constexpr absl::Duration kMaxSettingsDelay = absl::Seconds(2);
+constexpr absl::Duration kStartRetryDelay = absl::Milliseconds(100);
 // Only traffic between VMs and the metrics share the inner ports.
 constexpr int kMetricsPort = 9464;
 // From then on only requests are accepted that end before the process does, whatever the backend
@@ -95,12 +101,29 @@
   return static_cast<std::size_t>(static_cast<double>(settings.memory_bytes) * part);
 }
 
+// The first port for traffic between VMs that no other program uses; other VMs learn which it is.
+int FirstFreePort(const platform::NodeSettings& settings) {
+  asio::io_context io;
+  for (int port = settings.first_inner_port; port <= settings.last_inner_port; ++port) {
+    const auto endpoint = ParseEndpoint(absl::StrCat(settings.ip, ":", port));
+    if (!endpoint || port == kMetricsPort) continue;
+    boost::system::error_code error;
+    Tcp::acceptor acceptor(io);
+    acceptor.open(endpoint->protocol(), error);
+    if (!error) acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    if (!error) acceptor.bind(*endpoint, error);
+    if (!error) acceptor.listen(1, error);
+    if (!error) return port;
+  }
+  return settings.first_inner_port;
+}
+
 FleetMember MakeSelf(const platform::NodeSettings& settings) {
   FleetMember self;
   self.instance = {settings.vm, RandomId()};
   self.started_unix_ms = absl::ToUnixMillis(absl::Now());
   self.availability_zone = settings.availability_zone;
-  self.inner_address = absl::StrCat(settings.ip, ":", settings.first_inner_port);
+  self.inner_address = absl::StrCat(settings.ip, ":", FirstFreePort(settings));
   self.caller_address = settings.caller_listen;
   self.capacity = std::max(1, static_cast<int>(settings.cpu_share * 100));
   return self;
@@ -188,7 +211,18 @@
 
   int Run() {
     ApplyBounds();
-    if (!StartListeners()) return kExitCannotStart;
+    SpawnFiber(io_, "signals", [this](Yield yield) { AwaitSignals(yield); });
+    SpawnFiber(io_, "start", [this](Yield yield) { Start(yield); });
+    io_.run();
+    return kExitCannotStart;
+  }
+
+ private:
+  void Start(Yield yield) {
+    if (!StartListeners(yield)) {
+      FlushLogging();
+      _exit(kExitCannotStart);
+    }
     LogFields fields;
     fields.Add("vm", self_.instance.ToString())
         .Add("availability_zone", settings_.availability_zone)
@@ -206,7 +240,6 @@
     spawn("engine roles", [this](Yield yield) { role_keeper_.Run(yield); });
     spawn("quarantines", [this](Yield yield) { quarantine_keeper_.Run(yield); });
     spawn("reports", [this](Yield yield) { link_.RunReports(yield); });
-    spawn("signals", [this](Yield yield) { AwaitSignals(yield); });
     spawn("housekeeping", [this](Yield yield) { KeepHouse(yield); });
     spawn("flush log", [this](Yield yield) {
       while (true) {
@@ -214,11 +247,8 @@
         FlushLogging();
       }
     });
-    io_.run();
-    return kExitOk;
   }
 
- private:
   bool ready() const { return !draining_ && view_.catalog() != nullptr; }
 
   FleetMember Self() const {
@@ -248,24 +278,37 @@
     return limits;
   }
 
-  bool StartListeners() {
-    const auto start = [](HttpListener& listener, const Address& address) {
-      const auto started = listener.Start(address);
-      if (!started) Log().Error(started.error().ToString());
-      return started.ok();
+  bool StartListeners(Yield yield) {
+    const absl::Time until = clock_.Now() + kMaxListenDelay;
+    const auto listen = [&](HttpListener& listener, const Address& address) {
+      return StartUntil(
+          until, [&] { return listener.Start(address); }, yield);
     };
-    const auto inner = coordinator_.Start();
-    if (!inner) Log().Error(inner.error().ToString());
-    bool started = inner.ok() && start(front_listener_, settings_.caller_listen) &&
-                   start(readiness_listener_, settings_.readiness_listen);
+    bool started = StartUntil(
+                       until, [&] { return coordinator_.Start(); }, yield) &&
+                   listen(front_listener_, settings_.caller_listen) &&
+                   listen(readiness_listener_, settings_.readiness_listen);
     if (!settings_.directory_listen.empty()) {
-      started = started && start(directory_listener_, settings_.directory_listen);
+      started = started && listen(directory_listener_, settings_.directory_listen);
     }
     // Without metrics the VM can still serve.
-    start(metrics_listener_, absl::StrCat(settings_.ip, ":", kMetricsPort));
+    const auto metrics = metrics_listener_.Start(absl::StrCat(settings_.ip, ":", kMetricsPort));
+    if (!metrics) Log().Error(metrics.error().ToString());
     return started;
   }
 
+  // Repeats `start` until it succeeds, or until then.
+  template <class Start>
+  bool StartUntil(absl::Time until, const Start& start, Yield yield) {
+    while (true) {
+      const ErrorOrVoid started = start();
+      if (started) return true;
+      Log().Error(started.error().ToString());
+      if (clock_.Now() >= until) return false;
+      SleepFor(io_, kStartRetryDelay, yield);
+    }
+  }
+
   void OnReplicaChanges(const ReplicaChanges& changes, bool whole, StoreEra era) override {
     replica_follower_.ApplyFeed(changes, whole, era);
   }
@@ -439,6 +482,11 @@
   (void)mallopt(M_MMAP_THRESHOLD, kMappedBlockBytes);
   InitializeBufferedLogging(log_level, LogBounds{});
   auto settings = platform::ReadNodeSettings(settings_path);
+  const absl::Time until = absl::Now() + kMaxSettingsDelay;
+  while (!settings && absl::Now() < until) {
+    absl::SleepFor(kStartRetryDelay);
+    settings = platform::ReadNodeSettings(settings_path);
+  }
   if (!settings) {
     std::fprintf(stderr, "marigoldquayd: %s\n", settings.error().message.c_str());
     return kExitBadSettings;
--- a/packages/fleet/src/coordinator.cc
+++ b/packages/fleet/src/coordinator.cc
@@ -75,7 +75,11 @@
   if (!error) acceptor_.set_option(asio::socket_base::reuse_address(true), error);
   if (!error) acceptor_.bind(*endpoint, error);
   if (!error) acceptor_.listen(asio::socket_base::max_listen_connections, error);
-  if (error) return Error{ErrorCode::kUnavailable, "listen", self_.inner_address, error.message()};
+  if (error) {
+    boost::system::error_code ignored;  // A later start opens it again.
+    acceptor_.close(ignored);
+    return Error{ErrorCode::kUnavailable, "listen", self_.inner_address, error.message()};
+  }
   SpawnFiber(io_, "accept VMs", [this](Yield yield) { Accept(yield); });
   SpawnFiber(io_, "send fleet states", [this](Yield yield) { RunStateBroadcasts(yield); });
   return std::monostate();
--- a/packages/net/src/http_listener.cc
+++ b/packages/net/src/http_listener.cc
@@ -60,7 +60,10 @@
   if (!error) acceptor.set_option(asio::socket_base::reuse_address(true), error);
   if (!error) acceptor.bind(*endpoint, error);
   if (!error) acceptor.listen(asio::socket_base::max_listen_connections, error);
-  if (error) return Error{ErrorCode::kUnavailable, "listen", address, error.message()};
+  if (error) {
+    StopAccepting();
+    return Error{ErrorCode::kUnavailable, "listen", address, error.message()};
+  }
   SpawnFiber(io_, "accept", [shared = shared_](Yield yield) { AcceptConnections(shared, yield); });
   return std::monostate();
 }
--- a/tests/platform/world.cc
+++ b/tests/platform/world.cc
@@ -218,6 +218,10 @@
   return Local(vms_[static_cast<std::size_t>(index)].base_port + 2);
 }
 
+Address World::inner_address(int index) const {
+  return Local(vms_[static_cast<std::size_t>(index)].base_port + 3);
+}
+
 bool World::AwaitReady(int index, absl::Duration timeout) const {
   return Eventually(timeout, [&] {
     return Get("http://" + readiness_address(index) + "/readiness").status == 200;
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -91,6 +91,8 @@
   Address caller_address(int index) const;
   Address readiness_address(int index) const;
   Address directory_address(int index) const;
+  /// The first of the ports for traffic between VMs.
+  Address inner_address(int index) const;
   bool AwaitReady(int index, absl::Duration timeout = absl::Seconds(10)) const;
   std::string SettingsPath(int index) const;
 
