Answer requests on connections that a planned stop finds in the queue

Reproduced: 1 in three stops with 30 callers on (platform_stop_test).

Cause: closing the listening socket resets the connections that wait in its queue, and the process exited at once, with requests on accepted connections unread.

Ruled out: requests on kept connections; each response of a stopping VM closes its connection, and none was without an answer in the users' figures.

Change: the queue is accepted before the socket is closed, and the process goes on for 250 ms, longer while requests are active, within the grace.

platform_stop_test: 1 unanswered request before, none after.

--- a/apps/marigoldquayd/platform_node.cc
+++ b/apps/marigoldquayd/platform_node.cc
@@ -54,6 +54,8 @@
 // Callers that keep an address longer than its age go on to come for a while.
 constexpr absl::Duration kMinDrain = absl::Milliseconds(2800);
 constexpr absl::Duration kStopMargin = absl::Milliseconds(500);
+// After the listening socket is closed, requests still arrive on connections made just before.
+constexpr absl::Duration kLastRequestsTime = absl::Milliseconds(250);
 constexpr absl::Duration kDrainPoll = absl::Milliseconds(50);
 constexpr absl::Duration kLogFlush = absl::Milliseconds(100);
 // Orders to engines wait while the store has been silent for longer.
@@ -415,6 +417,16 @@
     return absl::ToUnixNanos(absl::TimeFromTimespec(info.st_mtim));
   }
 
+  // Waits for the requests of the connections that were accepted before `closed`, until shortly
+  // after `last`.
+  void AwaitLastRequests(absl::Time closed, absl::Time last, Yield yield) {
+    while (clock_.Now() < last + kLastRequestsTime) {
+      const bool idle = front_listener_.active_requests() == 0;
+      if (idle && clock_.Now() >= closed + kLastRequestsTime) return;
+      SleepFor(io_, kDrainPoll, yield);
+    }
+  }
+
   void Drain(Yield yield) {
     const absl::Time started = clock_.Now();
     const absl::Time last = started + settings_.stop_grace - kStopMargin;
@@ -430,7 +442,9 @@
       if (clock_.Now() >= last || (idle && elapsed >= kMinDrain)) break;
       SleepFor(io_, kDrainPoll, yield);
     }
+    front_listener_.AcceptQueued();
     front_listener_.StopAccepting();
+    AwaitLastRequests(clock_.Now(), last, yield);
     Log().Event("stopped",
                 LogFields()
                     .Add("unfinished", static_cast<std::int64_t>(front_listener_.active_requests()))
--- a/packages/net/include/marigoldquay/net/http_listener.h
+++ b/packages/net/include/marigoldquay/net/http_listener.h
@@ -89,6 +89,9 @@
 
   /// Fails with kUnavailable when the address cannot be bound.
   ErrorOrVoid Start(const Address& address);
+  /// Accepts the connections that wait in the queue of the listening socket, which resets them when
+  /// it is closed.
+  void AcceptQueued();
   /// Closes the listening socket; open connections continue.
   void StopAccepting();
   /// Closes connections that are waiting for a request.
--- a/packages/net/src/http_listener.cc
+++ b/packages/net/src/http_listener.cc
@@ -19,6 +19,15 @@
 // Delay after a failed accept, e.g. when file descriptors run out.
 constexpr absl::Duration kAcceptRetryDelay = absl::Milliseconds(50);
 
+// Over the limit, closes the connection at once so that the caller can try another address.
+void Serve(const HttpListener::SharedStatePtr& shared, Tcp::socket socket) {
+  if (shared->connections >= shared->max_connections) return;
+  SpawnFiber(shared->io, "caller connection",
+             [shared, socket = std::move(socket)](Yield yield) mutable {
+               internal::ServeConnection(shared, std::move(socket), yield);
+             });
+}
+
 void AcceptConnections(const HttpListener::SharedStatePtr& shared, Yield yield) {
   while (shared->acceptor.is_open()) {
     boost::system::error_code error;
@@ -30,12 +39,7 @@
       SleepFor(shared->io, kAcceptRetryDelay, yield);
       continue;
     }
-    // Over the limit, close the connection at once so that the caller can try another address.
-    if (shared->connections >= shared->max_connections) continue;
-    SpawnFiber(shared->io, "caller connection",
-               [shared, socket = std::move(socket)](Yield inner) mutable {
-                 internal::ServeConnection(shared, std::move(socket), inner);
-               });
+    Serve(shared, std::move(socket));
   }
 }
 
@@ -68,6 +72,16 @@
   return std::monostate();
 }
 
+void HttpListener::AcceptQueued() {
+  boost::system::error_code error;
+  shared_->acceptor.non_blocking(true, error);
+  while (!error) {
+    Tcp::socket socket(io_);
+    shared_->acceptor.accept(socket, error);
+    if (!error) Serve(shared_, std::move(socket));
+  }
+}
+
 void HttpListener::StopAccepting() {
   boost::system::error_code ignored;  // The acceptor may be closed already.
   shared_->acceptor.close(ignored);
