Keep the store and small requests independent of the memory of large ones

Found when the diff was read: answers of the store were charged to the budget of callers and backend servers, so that a configuration of over 16 KB is not read while callers hold the budget; and a small body in chunks, or a small reply, was charged for a whole step in advance, more than what is always granted.

Change: the store has a pool of its own outside the budget, with a bound for each answer; bodies of unknown length are charged as they grow, at most one read late.

--- a/apps/marigoldquayd/platform_node.cc
+++ b/apps/marigoldquayd/platform_node.cc
@@ -166,7 +166,8 @@
         memory_(PartOfMemory(settings_, kConnectionMemoryPart)),
         session_memory_(PartOfMemory(settings_, kSessionMemoryPart)),
         connections_(io_, clock_, memory_),
-        store_(connections_, settings_.store),
+        store_connections_(io_, clock_),
+        store_(store_connections_, settings_.store),
         self_(MakeSelf(settings_)),
         balancer_(settings_.availability_zone, health_),
         budgets_(RetryLimits(1)),
@@ -403,6 +404,7 @@
     while (true) {
       SleepFor(io_, kHousekeeping, yield);
       connections_.CloseIdle();
+      store_connections_.CloseIdle();
       ApplyBounds();
       const std::int64_t change = SettingsChange();
       if (change != known_change) ReloadSettings("the file has changed");
@@ -463,6 +465,9 @@
   MemoryBudget memory_;
   MemoryBudget session_memory_;
   ConnectionPool connections_;
+  // Outside the budget: what the store says is read also while callers hold all of it. A few calls
+  // run at once, each with a bound of its own.
+  ConnectionPool store_connections_;
   platform::StoreClient store_;
   platform::HeaderDialect dialect_;
   const FleetMember self_;
--- a/packages/net/src/caller_connection.cc
+++ b/packages/net/src/caller_connection.cc
@@ -17,8 +17,6 @@
 // Maximum bytes of later requests to buffer while one is handled; the rest stays in the socket.
 constexpr std::size_t kMaxReadAheadBytes = std::size_t{64} * 1024;
 constexpr std::size_t kReadAheadChunkBytes = std::size_t{4} * 1024;
-// Steps in which the memory of a body of unknown length is charged.
-constexpr std::size_t kBodyStepBytes = std::size_t{64} * 1024;
 // A caller that has not taken the answer to a rejected request by then loses it.
 constexpr absl::Duration kDiscardTimeout = absl::Seconds(2);
 // Large, as the bytes of a large body cost a read each time.
@@ -280,13 +278,10 @@
   boost::system::error_code ReadBody(Parser& parser, const ListenerLimits& limits, Yield yield) {
     const auto& body = parser.get().body();
     const bool length_known = parser.content_length().has_value();
-    std::size_t charged = 0;
     while (!parser.is_done()) {
       const std::size_t received = body.size();
-      if (!length_known && received + MessageReader::kReadBytes > charged) {
-        charged = received + kBodyStepBytes;
-        if (!reader_.ChargeBody(charged)) return OutOfMemory();
-      }
+      // Otherwise the whole body is charged already.
+      if (!length_known && !reader_.ChargeBody(received)) return OutOfMemory();
       stream_.expires_after(ToChrono(limits.idle_timeout));
       const auto more_read = [&] { return parser.is_done() || body.size() > received; };
       const auto error = reader_.ReadUntil(parser, more_read, yield);
--- a/packages/net/src/http_connection.cc
+++ b/packages/net/src/http_connection.cc
@@ -40,18 +40,15 @@
   }
 }
 
-// Reads a message and charges its body in steps, as it may come in chunks of unknown number.
+// Reads a message and charges its body as it grows, at most one read late.
 boost::system::error_code ReadWhole(internal::MessageReader& reader,
                                     http::response_parser<http::string_body>& parser, Yield yield) {
   const auto& body = parser.get().body();
-  std::size_t charged = 0;
   while (!parser.is_done()) {
-    charged = body.size() + kBodyChunkBytes;
-    if (!reader.ChargeBody(charged)) return internal::OutOfMemory();
-    const auto part_read = [&] {
-      return parser.is_done() || body.size() + internal::MessageReader::kReadBytes > charged;
-    };
-    const auto error = reader.ReadUntil(parser, part_read, yield);
+    const std::size_t received = body.size();
+    if (!reader.ChargeBody(received)) return internal::OutOfMemory();
+    const auto more_read = [&] { return parser.is_done() || body.size() > received; };
+    const auto error = reader.ReadUntil(parser, more_read, yield);
     if (error) return error;
   }
   return {};
--- a/tests/platform/platform_memory_test.cc
+++ b/tests/platform/platform_memory_test.cc
@@ -242,6 +242,8 @@
     CallerCall call;
     call.id = NewRequestId();
     call.path = calls % 2 == 0 ? "/order/x" : "/status/x";
+    // A body in chunks states no length.
+    if (calls % 4 >= 2) call.headers = {"Transfer-Encoding: chunked"};
     if (world.Call(0, call).status != 200) ++failed;
   }
   BOOST_TEST(failed == 0);
@@ -398,6 +400,37 @@
   }
 }
 
+// Guards against a store whose answers are not read while callers hold the memory: a change of the
+// configuration has to take effect all the same.
+BOOST_AUTO_TEST_CASE(configuration_is_read_while_callers_hold_the_memory) {
+  const std::string body(std::size_t{60} * 1024, 'b');
+  const std::string start =
+      HeadOf("/status/x", absl::StrCat("Content-Length: ", body.size() + 1, "\r\n\r\n", body));
+  auto options = Options("configuration");
+  options.max_descriptors = 4100;
+  World world(options);
+  BOOST_TEST_REQUIRE(world.AwaitReady(0));
+  UseLargeLimits(world);
+  const Flood flood(world, 900, start, "");
+  BOOST_TEST(Eventually(absl::Seconds(3), [&] { return flood.holding() > 400; }));
+  (void)world.Configure([](boost::json::object& config) {
+    auto& routes = config["routes"].as_array();
+    // Makes the record larger than what every connection is granted.
+    for (int i = 0; i < 300; ++i) {
+      auto route = routes.front().as_object();
+      route["name"] = absl::StrCat("r", i);
+      route["pathPrefix"] = absl::StrCat("/added-", i, "/");
+      routes.push_back(route);
+    }
+  });
+  BOOST_TEST(Eventually(absl::Seconds(3), [&] {
+    CallerCall call;
+    call.id = NewRequestId();
+    call.path = "/added-299/x";
+    return world.Call(0, call).status == 200;
+  }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
