Limit the requests that are handled at once by the memory of the VM

Cause: by the page map of the process, each request takes some 20 KB of touched stack and 40 KB of heap that no budget knows, and the limit of connections, memory by 96 KB, leaves nothing for the budget and the process itself.

Ruled out: the kept part of a response alone.

Change: at most 32% of the memory by 56 KB requests are handled at once, 643 on a VM of 110 MB; further ones are answered 503, not run. The budget of messages is 30% instead of 35%. A chunk has the 8 KB that a read gives at most, and blocks over 64 KB have mappings of their own.

--- a/apps/marigoldquayd/platform_node.cc
+++ b/apps/marigoldquayd/platform_node.cc
@@ -72,14 +72,19 @@
 constexpr std::size_t kConnectionBytes = std::size_t{96} * 1024;
 constexpr std::size_t kOtherListenerConnections = 200;
 // Parts of the VM's memory that the connections of callers and backend servers, and the sessions of
-// VMs, may hold together, beside what each is always granted. The rest is for the stacks of the
-// fibers, for what the process knows and for the store's answers. Sessions have their own part, so
-// that large requests cannot end them.
-constexpr double kConnectionMemoryPart = 0.35;
+// VMs, may hold together, beside what each is always granted. Sessions have their own part, so that
+// large requests cannot end them.
+constexpr double kConnectionMemoryPart = 0.3;
 constexpr double kSessionMemoryPart = 0.25;
-// Larger blocks, e.g. bodies, are mapped one by one, so that the memory of each returns to the
-// system when it is freed. By default the C library raises this size up to 32 MB.
-constexpr int kMappedBlockBytes = 128 * 1024;
+// Part of the VM's memory for what each request takes while it is handled, whatever its size: the
+// touched stack of its fiber, buffers of both connections and a chunk of the response. The rest is
+// for idle connections, for what the process knows and for the store's answers.
+constexpr double kRequestMemoryPart = 0.32;
+constexpr std::size_t kRequestBytes = std::size_t{56} * 1024;
+// Larger blocks, e.g. bodies and responses that are kept, are mapped one by one, so that the memory
+// of each returns to the system when it is freed. By default the C library raises this size up to
+// 32 MB.
+constexpr int kMappedBlockBytes = 64 * 1024;
 
 const Logger& Log() {
   static const Logger logger("main");
@@ -120,6 +125,11 @@
   return settings.first_inner_port;
 }
 
+ListenerCapacity CallerCapacity(const platform::NodeSettings& settings) {
+  const std::size_t requests = PartOfMemory(settings, kRequestMemoryPart) / kRequestBytes;
+  return {MaxConnections(settings), std::max<std::size_t>(requests, 16)};
+}
+
 FleetMember MakeSelf(const platform::NodeSettings& settings) {
   FleetMember self;
   self.instance = {settings.vm, RandomId()};
@@ -207,7 +217,7 @@
             [this] { return std::min(kAddressMaxAge, settings_.address_max_age); }),
         readiness_([this] { return ready(); }),
         metrics_(memory_),
-        front_listener_(io_, front_, MaxConnections(settings_), memory_),
+        front_listener_(io_, front_, CallerCapacity(settings_), memory_),
         readiness_listener_(io_, readiness_, kOtherListenerConnections, memory_),
         directory_listener_(io_, directory_, kOtherListenerConnections, memory_),
         metrics_listener_(io_, metrics_, kOtherListenerConnections, memory_) {}
@@ -233,6 +243,7 @@
         .Add("inner", self_.inner_address)
         .Add("store", settings_.store.address)
         .Add("max_connections", static_cast<std::int64_t>(MaxConnections(settings_)))
+        .Add("max_requests", static_cast<std::int64_t>(CallerCapacity(settings_).requests))
         .Add("connection_memory_bytes", static_cast<std::int64_t>(memory_.capacity()));
     Log().Event("start", fields);
     const auto spawn = [this](const char* name, auto&& body) { SpawnFiber(io_, name, body); };
--- a/packages/net/include/marigoldquay/net/fwd.h
+++ b/packages/net/include/marigoldquay/net/fwd.h
@@ -13,6 +13,7 @@
 class MemoryBudget;
 class MemoryHolding;
 struct HttpReply;
+struct ListenerCapacity;
 struct ListenerLimits;
 
 }  // namespace marigoldquay
--- a/packages/net/include/marigoldquay/net/http_connection.h
+++ b/packages/net/include/marigoldquay/net/http_connection.h
@@ -38,6 +38,8 @@
 
   /// Largest head of a response, head of a chunk and trailer, in bytes.
   static constexpr std::size_t kMaxHeadBytes = std::size_t{16} * 1024;
+  /// Most bytes that ReadSome returns.
+  static constexpr std::size_t kMaxChunkBytes = internal::MessageReader::kReadBytes;
   /// Largest response to a call that returns a few values, in bytes.
   static constexpr std::size_t kMaxShortReplyBytes = std::size_t{16} * 1024;
 
--- a/packages/net/include/marigoldquay/net/http_listener.h
+++ b/packages/net/include/marigoldquay/net/http_listener.h
@@ -4,6 +4,7 @@
 #define MARIGOLDQUAY_NET_HTTP_LISTENER_H_
 
 #include <cstddef>
+#include <limits>
 #include <memory>
 #include <string>
 
@@ -15,6 +16,16 @@
 
 namespace marigoldquay {
 
+/// What a listener accepts from all its callers together.
+struct ListenerCapacity {
+  /// Further connections are closed at once.
+  std::size_t connections = 0;
+  /// Requests that are handled at once; further ones are answered 503.
+  std::size_t requests = std::numeric_limits<std::size_t>::max();
+
+  bool operator==(const ListenerCapacity&) const = default;
+};
+
 /// Size and time limits of a caller's connection.
 struct ListenerLimits {
   std::size_t header_bytes = std::size_t{16} * 1024;
@@ -83,8 +94,12 @@
 class HttpListener {
  public:
   /// The connections charge what they hold to `memory`, which must outlive them.
-  HttpListener(asio::io_context& io, HttpHandler& handler, std::size_t max_connections,
+  HttpListener(asio::io_context& io, HttpHandler& handler, ListenerCapacity capacity,
                MemoryBudget& memory = MemoryBudget::Unlimited());
+  /// Without a limit on requests.
+  HttpListener(asio::io_context& io, HttpHandler& handler, std::size_t max_connections,
+               MemoryBudget& memory = MemoryBudget::Unlimited())
+      : HttpListener(io, handler, ListenerCapacity{max_connections}, memory) {}
   ~HttpListener();
 
   /// Fails with kUnavailable when the address cannot be bound.
--- a/packages/net/src/caller_connection.cc
+++ b/packages/net/src/caller_connection.cc
@@ -223,6 +223,10 @@
       Reject(RejectionFor(error), limits, yield);
       return false;
     }
+    if (shared_->active_requests >= shared_->capacity.requests) {
+      Reject({503, "too many requests at once", kMemoryRetryAfter}, limits, yield);
+      return false;
+    }
     const bool reusable = HandleRequest(request, yield);
     // The charge for the request ends with it.
     request = {};
--- a/packages/net/src/caller_connection.h
+++ b/packages/net/src/caller_connection.h
@@ -84,15 +84,15 @@
 namespace marigoldquay {
 
 struct HttpListener::SharedState {
-  SharedState(asio::io_context& io, HttpHandler& handler, std::size_t max_connections,
+  SharedState(asio::io_context& io, HttpHandler& handler, ListenerCapacity capacity,
               MemoryBudget& memory)
-      : io(io), acceptor(io), handler(&handler), max_connections(max_connections), memory(memory) {}
+      : io(io), acceptor(io), handler(&handler), capacity(capacity), memory(memory) {}
 
   asio::io_context& io;
   Tcp::acceptor acceptor;
   // Null after the listener is destroyed.
   HttpHandler* handler;
-  const std::size_t max_connections;
+  const ListenerCapacity capacity;
   MemoryBudget& memory;
   std::size_t connections = 0;
   std::size_t active_requests = 0;
--- a/packages/net/src/http_connection.cc
+++ b/packages/net/src/http_connection.cc
@@ -13,7 +13,6 @@
 namespace marigoldquay {
 namespace {
 
-constexpr std::size_t kBodyChunkBytes = std::size_t{16} * 1024;
 // Idle connections are closed well before the usual timeout of a peer, since a request that is sent
 // while the peer closes the connection is lost.
 constexpr absl::Duration kMaxIdleTime = absl::Seconds(4);
@@ -114,7 +113,7 @@
 
 ErrorOrVoid HttpConnection::ReadSome(ResponseParser& parser, std::string& chunk,
                                      absl::Duration timeout, Yield yield) {
-  chunk.resize(kBodyChunkBytes);
+  chunk.resize(kMaxChunkBytes);
   auto& body = parser.get().body();
   body.data = chunk.data();
   body.size = chunk.size();
--- a/packages/net/src/http_listener.cc
+++ b/packages/net/src/http_listener.cc
@@ -21,7 +21,7 @@
 
 // Over the limit, closes the connection at once so that the caller can try another address.
 void Serve(const HttpListener::SharedStatePtr& shared, Tcp::socket socket) {
-  if (shared->connections >= shared->max_connections) return;
+  if (shared->connections >= shared->capacity.connections) return;
   SpawnFiber(shared->io, "caller connection",
              [shared, socket = std::move(socket)](Yield yield) mutable {
                internal::ServeConnection(shared, std::move(socket), yield);
@@ -45,9 +45,9 @@
 
 }  // namespace
 
-HttpListener::HttpListener(asio::io_context& io, HttpHandler& handler, std::size_t max_connections,
+HttpListener::HttpListener(asio::io_context& io, HttpHandler& handler, ListenerCapacity capacity,
                            MemoryBudget& memory)
-    : io_(io), shared_(std::make_shared<SharedState>(io, handler, max_connections, memory)) {}
+    : io_(io), shared_(std::make_shared<SharedState>(io, handler, capacity, memory)) {}
 
 HttpListener::~HttpListener() {
   StopAccepting();
--- a/packages/relay/src/backend_attempt.cc
+++ b/packages/relay/src/backend_attempt.cc
@@ -178,10 +178,18 @@
   return read;
 }
 
+bool BackendAttempt::MakeRoom(std::size_t limit, std::string& body) {
+  const std::size_t size = limit + HttpConnection::kMaxChunkBytes;
+  if (body.empty() || body.capacity() >= size) return true;
+  if (!KeepBody(size)) return false;
+  body.reserve(size);
+  return true;
+}
+
 ErrorOr<bool> BackendAttempt::ReadUpTo(std::size_t limit, std::string& body, Yield yield) {
   std::string chunk;
   while (!done()) {
-    if (body.size() >= limit || !KeepBody(body.size() + chunk.capacity())) return false;
+    if (body.size() >= limit || !MakeRoom(limit, body)) return false;
     const auto read = ReadSome(chunk, yield);
     if (!read) return read.error();
     body += chunk;
--- a/packages/relay/src/backend_attempt.h
+++ b/packages/relay/src/backend_attempt.h
@@ -77,6 +77,9 @@
   // Fails an exchange whose request may have reached the server.
   AttemptOutcome FailExchange(const Error& error);
   AttemptOutcome CheckResponseHead();
+  // Before a body of several chunks is kept, charges and allocates room for all of it, as a string
+  // that grows takes up to twice its size. False when there is no memory.
+  bool MakeRoom(std::size_t limit, std::string& body);
   // Whether the body has ended where its framing or its events do not allow an end.
   bool EndedInsideEvent() const;
 
--- a/packages/relay/src/plain_relay.cc
+++ b/packages/relay/src/plain_relay.cc
@@ -175,22 +175,27 @@
       if (!sent) state_.outcome = sent.error().message;
       return NextStep::kStop;
     }
-    ForwardChunks(attempt, fields, std::move(body), yield);
+    ForwardRest(attempt, fields, std::move(body), yield);
     return NextStep::kStop;
   }
 
-  void ForwardChunks(BackendAttempt& attempt, const HttpFields& fields, std::string chunk,
-                     Yield yield) {
+  // Forwards what was kept of a response and then the rest of it as it arrives.
+  void ForwardRest(BackendAttempt& attempt, const HttpFields& fields, std::string kept,
+                   Yield yield) {
     auto sent = state_.reply.Begin(attempt.status(), fields, attempt.content_length(), yield);
-    while (sent) {
-      sent = state_.reply.Append(chunk, yield);
-      if (!sent || attempt.done()) break;
+    if (sent) sent = state_.reply.Append(kept, yield);
+    // A caller may take long to read the rest.
+    kept = std::string();
+    (void)attempt.KeepBody(0);  // A decrease is always granted.
+    std::string chunk;
+    while (sent && !attempt.done()) {
       const auto read = attempt.ReadSome(chunk, yield);
       if (!read) {
         state_.outcome = absl::StrCat("response interrupted: ", attempt.detail());
         state_.reply.Abort();
         return;
       }
+      sent = state_.reply.Append(chunk, yield);
     }
     if (sent) sent = state_.reply.Finish(yield);
     if (!sent) state_.outcome = sent.error().message;
