Count the retries of a whole window in the retry budget

What callers' servers saw: nothing traced; found by a model of VMs that send each retry they may.

Cause: the window is kept in 20 slots of half a second, and the current slot is one of them, so that a retry left the window 9.5 to 10 s after it was sent. A burst could be spent at the begin and again at the end of a window of 10 s.

Evidence: every_window_stays_within_the_limits allowed for this by counting 9.5 s. With 10 s it fails on the earlier code ("38 <= 37.8"), and so does burst_returns_after_a_whole_window ("check !budget.CanRetry(spent_at + absl::Milliseconds(9990)) has failed").

Change: one slot more is kept. Retries of the slot in which the window begins count, first attempts of it do not.

--- a/packages/dispatch/include/marigoldquay/dispatch/retry_budget_window.h
+++ b/packages/dispatch/include/marigoldquay/dispatch/retry_budget_window.h
@@ -49,8 +49,10 @@
   Slot& CurrentSlot(absl::Time now);
 
   RetryBudgetLimits limits_;
-  // Ring buffer indexed by slot number modulo kSlots; a slot with an expired number is empty.
-  std::array<Slot, kSlots> slots_;
+  // Ring buffer indexed by slot number modulo its size; a slot with an expired number is empty. One
+  // slot more than the window has: of the slot in which the window begins, retries count and first
+  // attempts do not.
+  std::array<Slot, kSlots + 1> slots_;
 };
 
 }  // namespace marigoldquay
--- a/packages/dispatch/src/retry_budget_window.cc
+++ b/packages/dispatch/src/retry_budget_window.cc
@@ -10,7 +10,7 @@
 
 WindowedRetryBudget::Slot& WindowedRetryBudget::CurrentSlot(absl::Time now) {
   const std::int64_t number = SlotNumber(now);
-  Slot& slot = slots_[static_cast<std::size_t>(number) % kSlots];
+  Slot& slot = slots_[static_cast<std::size_t>(number) % slots_.size()];
   if (slot.number != number) slot = Slot{number, 0, 0};
   return slot;
 }
@@ -20,13 +20,14 @@
 void WindowedRetryBudget::OnRetry(absl::Time now) { ++CurrentSlot(now).retries; }
 
 bool WindowedRetryBudget::CanRetry(absl::Time now) const {
-  const std::int64_t oldest = SlotNumber(now) - static_cast<std::int64_t>(kSlots) + 1;
+  // The current slot is not over yet, so the window begins inside the oldest one.
+  const std::int64_t oldest = SlotNumber(now) - static_cast<std::int64_t>(kSlots);
   int first_attempts = 0;
   int retries = 0;
   for (const Slot& slot : slots_) {
     if (slot.number < oldest) continue;
-    first_attempts += slot.first_attempts;
     retries += slot.retries;
+    if (slot.number > oldest) first_attempts += slot.first_attempts;
   }
   return retries + 1 <= limits_.ratio * first_attempts + limits_.burst;
 }
--- a/packages/dispatch/tests/retry_budget_window_test.cc
+++ b/packages/dispatch/tests/retry_budget_window_test.cc
@@ -22,6 +22,17 @@
   BOOST_TEST(budget.TryAcquire(kStart + absl::Seconds(11)));
 }
 
+// Guards against a burst that is spent twice in a window, at its begin and at its end.
+BOOST_AUTO_TEST_CASE(burst_returns_after_a_whole_window) {
+  for (const int offset_ms : {0, 490}) {
+    WindowedRetryBudget budget({0.2, 1, absl::Seconds(10)});
+    const absl::Time spent_at = kStart + absl::Milliseconds(offset_ms);
+    BOOST_TEST(budget.TryAcquire(spent_at));
+    BOOST_TEST(!budget.CanRetry(spent_at + absl::Milliseconds(9990)));
+    BOOST_TEST(budget.CanRetry(spent_at + absl::Milliseconds(10'500)));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(first_attempts_allow_retries) {
   WindowedRetryBudget budget({0.2, 0, absl::Seconds(10)});
   for (int i = 0; i < 10; ++i) budget.OnFirstAttempt(kStart);
@@ -52,7 +63,7 @@
       return n;
     };
     for (const auto& end : retries) {
-      const int in_window = count(retries, end - absl::Milliseconds(9500), end);
+      const int in_window = count(retries, end - absl::Seconds(10), end);
       const int requests = count(first_attempts, end - absl::Seconds(10), end);
       RC_ASSERT(in_window <= 0.2 * requests + 3);
     }
