Give a VM no part of the retry burst until a coordinator has counted it

What callers and servers saw: in the users' record, services of the large deployment got more repeats than the budget allows. In platform_path, 7 of 12 orders got 503 ("retry budget exhausted") though two of three servers accepted orders.

Cause: while no coordinator had told a VM the number of VMs, it counted with ten and took a tenth of each burst, whatever the size of the fleet, and the limits were applied once a second. 270 VMs that start together took 27 bursts; a fleet of one took a tenth until the next housekeeping.

Change: the burst is shared only among VMs that a coordinator counts, so that the shares add up to one whatever the size. The ratio needs no number of VMs, so that a VM without a share still repeats 16% of its requests. A coordinator that may not see all VMs yet sends 0 for their number, which earlier versions read as ten, as before. The limits hold as soon as a state brings another number; the event retry_limits and two gauges name it.

--- a/apps/marigoldquayd/platform_node.cc
+++ b/apps/marigoldquayd/platform_node.cc
@@ -16,6 +16,7 @@
 #include "absl/time/clock.h"
 #include "marigoldquay/core/logger.h"
 #include "marigoldquay/core/metrics.h"
+#include "marigoldquay/dispatch/retry_burst_share.h"
 #include "marigoldquay/fleet/coordinator.h"
 #include "marigoldquay/fleet/coordinator_link.h"
 #include "marigoldquay/fleet/followers.h"
@@ -61,9 +62,6 @@
 // Orders to engines wait while the store has been silent for longer.
 constexpr absl::Duration kFreshStore = absl::Milliseconds(1500);
 constexpr absl::Duration kHousekeeping = absl::Seconds(1);
-// Parts of the deployment's retry budget that are used, so that counting on both sides may differ.
-constexpr double kRetryRatioPart = 0.8;
-constexpr double kRetryBurstPart = 0.7;
 // Part of the quota's tolerance that is handed out; the rest covers VMs that decide on their own.
 constexpr double kQuotaTolerancePart = 0.6;
 // Descriptors that the deployment reserves for files.
@@ -180,7 +178,7 @@
         store_(store_connections_, settings_.store),
         self_(MakeSelf(settings_)),
         balancer_(settings_.availability_zone, health_),
-        budgets_(RetryLimits(1)),
+        budgets_(RetryLimits()),
         presence_(
             io_, clock_, store_, self_, [this] { return NeedsMembers(); },
             [this] { return link_.ShouldAnnounce(); }),
@@ -284,12 +282,9 @@
            clock_.Now() - replica_follower_.origin().read_at < kFreshStore;
   }
 
-  RetryBudgetLimits RetryLimits(std::size_t members) const {
-    RetryBudgetLimits limits;
-    limits.ratio = settings_.retry_ratio * kRetryRatioPart;
-    limits.burst = settings_.retry_burst * kRetryBurstPart / static_cast<double>(members);
-    limits.window = settings_.retry_window;
-    return limits;
+  RetryBudgetLimits RetryLimits() const {
+    return LimitsOfVm({settings_.retry_ratio, settings_.retry_burst, settings_.retry_window},
+                      retry_share_.value());
   }
 
   bool StartListeners(Yield yield) {
@@ -330,6 +325,12 @@
     catalog_follower_.OnVersionAnnounced(version, record);
   }
 
+  // Applied at once: until the next housekeeping a VM would go on with a share that is too large.
+  void OnMemberCount(std::size_t members) override {
+    retry_share_.OnMemberCount(members);
+    ApplyRetryLimits();
+  }
+
   // A backend server has said, here or to another VM, that it is leaving.
   void OnLeavingServer(const BackendServerId& id) {
     if (!view_.replicas().MarkDraining(id)) return;
@@ -407,7 +408,26 @@
     coordinator_.SetQuotaTolerance(tolerance);
     link_.SetQuotaTolerance(tolerance);
     link_.SetMaxFeedDelay(settings_.change_bound);
-    budgets_.SetLimits(RetryLimits(link_.member_count()));
+    ApplyRetryLimits();
+  }
+
+  void ApplyRetryLimits() {
+    const RetryBudgetLimits limits = RetryLimits();
+    budgets_.SetLimits(limits);
+    const std::size_t members = retry_share_.members();
+    auto& metrics = MetricsRegistry::Global();
+    metrics.gauge("marigoldquay_fleet_members", "VMs that share the budgets; 0 while unknown.")
+        .Set(static_cast<std::int64_t>(members));
+    metrics
+        .gauge("marigoldquay_relay_retry_burst_hundredths",
+               "Retries beyond the ratio that this VM may send in a window, in hundredths.")
+        .Set(static_cast<std::int64_t>(100 * limits.burst));
+    if (std::exchange(logged_members_, members) == members) return;
+    LogFields fields;
+    fields.Add("members", static_cast<std::int64_t>(members))
+        .Add("burst", absl::StrCat(limits.burst))
+        .Add("ratio", absl::StrCat(limits.ratio));
+    Log().Event("retry_limits", fields);
   }
 
   void KeepHouse(Yield yield) {
@@ -485,6 +505,7 @@
   ClusterView view_;
   ReplicaHealth health_;
   ReplicaBalancer balancer_;
+  RetryBurstShare retry_share_;
   RetryBudgets budgets_;
   PresenceKeeper presence_;
   Coordinator coordinator_;
@@ -503,6 +524,8 @@
   HttpListener metrics_listener_;
   bool draining_ = false;
   bool announced_ready_ = false;
+  // Number of VMs in the last log event on it.
+  std::size_t logged_members_ = 0;
 };
 
 }  // namespace
--- a/packages/fleet/include/marigoldquay/fleet/coordinator.h
+++ b/packages/fleet/include/marigoldquay/fleet/coordinator.h
@@ -173,7 +173,10 @@
   void AddCatalog(std::uint64_t since, protocol::FleetStateT& state) const;
   void AddQuarantines(std::uint64_t since, protocol::FleetStateT& state) const;
   void BroadcastState();
+  // Number of VMs that share the quotas; kAssumedMemberCount while it is unknown.
   std::size_t MemberCount() const;
+  // Number of VMs that share the budgets; 0 while others may have started that are not seen yet.
+  std::size_t KnownMemberCount() const;
   absl::Duration StateInterval() const;
   // Ends the current interval early, so that the next state is sent after kBatchDelay.
   void TriggerStateBroadcast();
--- a/packages/fleet/include/marigoldquay/fleet/coordinator_link.h
+++ b/packages/fleet/include/marigoldquay/fleet/coordinator_link.h
@@ -29,7 +29,7 @@
 
 namespace marigoldquay {
 
-/// Receives the store data that the coordinator forwards.
+/// Receives the store data and the number of VMs that the coordinator sends.
 class FeedSink {
  public:
   virtual ~FeedSink() = default;
@@ -39,6 +39,8 @@
   /// The coordinator has this version of the configuration. `record` is its stored form, or empty
   /// when it has to be read from the store.
   virtual void OnCatalog(std::uint64_t version, const std::string& record) = 0;
+  /// The coordinator counts this VM as one of `members`; 0 while it does not know the number.
+  virtual void OnMemberCount(std::size_t members) = 0;
 };
 
 /// State of the local VM that the link queries.
--- a/packages/fleet/src/coordinator_link.cc
+++ b/packages/fleet/src/coordinator_link.cc
@@ -335,7 +335,7 @@
 
 void CoordinatorLink::OnState(const protocol::FleetStateT& state) {
   ApplyMembers(state);
-  member_count_ = state.member_count;
+  if (state.member_count > 0) member_count_ = state.member_count;
   report_interval_ = absl::Milliseconds(std::max<std::uint32_t>(state.interval_ms, 50));
   AccountLevels levels;
   for (const auto& entry : state.balances) levels[AccountFromWire(*entry)] = entry->tokens;
@@ -345,6 +345,7 @@
   }
   suspected_requests_ = state.suspected_requests;
   ApplyFeed(state);
+  feed_.OnMemberCount(state.member_count);
   FollowRedirect(FromWire(*state.coordinator));
 }
 
--- a/packages/fleet/src/coordinator_state.cc
+++ b/packages/fleet/src/coordinator_state.cc
@@ -47,6 +47,11 @@
 }
 
 std::size_t Coordinator::MemberCount() const {
+  const std::size_t known = KnownMemberCount();
+  return known > 0 ? known : kAssumedMemberCount;
+}
+
+std::size_t Coordinator::KnownMemberCount() const {
   absl::flat_hash_set<std::string> vms;
   for (const auto& member : source_.listed_members()) vms.insert(member.instance.vm);
   for (const auto& [vm, until] : departed_) vms.insert(vm);
@@ -57,7 +62,8 @@
   if (source_.settled()) return seen;
   std::size_t known = 0;
   for (const auto& session : sessions_) known = std::max(known, session->known_members);
-  return std::max(seen, known > 0 ? known : kAssumedMemberCount);
+  if (known == 0 && seen < kAssumedMemberCount) return 0;
+  return std::max(seen, known);
 }
 
 std::optional<FleetMember> Coordinator::Successor() const {
@@ -99,7 +105,7 @@
 protocol::FleetStateT Coordinator::BuildState() {
   protocol::FleetStateT state;
   state.coordinator = ToWire(PreferredCoordinator());
-  state.member_count = static_cast<std::uint32_t>(MemberCount());
+  state.member_count = static_cast<std::uint32_t>(KnownMemberCount());
   state.interval_ms = static_cast<std::uint32_t>(absl::ToInt64Milliseconds(StateInterval()));
   const DataOrigin origin = hooks_.data_origin();
   const absl::Duration store_age = clock_.Now() - origin.read_at;
--- a/tests/platform/platform_path_test.cc
+++ b/tests/platform/platform_path_test.cc
@@ -1,18 +1,22 @@
 // The path of a request through a real daemon on the platform: what callers and
 // backend servers see, for good input, bad input and failing backend servers.
+#include <algorithm>
 #include <atomic>
 #include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
 #include "absl/time/clock.h"
 #include "world.h"
 
 namespace marigoldquay::testing {
 namespace {
 
-// Until then a VM counts with ten VMs, and takes a tenth of the retry budget.
-constexpr absl::Duration kFleetKnown = absl::Seconds(3);
+// Time for a VM to get its whole part of the retry budget.
+constexpr absl::Duration kRetryBudgetTimeout = absl::Seconds(20);
 
 CallerCall Order(const std::string& path = "/order/x?a=1&b=%2F") {
   CallerCall call;
@@ -48,6 +52,18 @@
 
   Fixture() : world(Options()) { BOOST_TEST_REQUIRE(world.AwaitReady(0)); }
 
+  /// Waits until the only VM has logged that the whole retry budget is its own.
+  void AwaitRetryBudget() {
+    const auto is_whole = [](absl::string_view line) {
+      return absl::StrContains(line, "\"retry_limits\"") &&
+             absl::StrContains(line, "\"members\":1,");
+    };
+    BOOST_TEST_REQUIRE(Eventually(kRetryBudgetTimeout, [&] {
+      const std::vector<std::string> lines = absl::StrSplit(world.vm(0).Log(), '\n');
+      return std::any_of(lines.begin(), lines.end(), is_whole);
+    }));
+  }
+
   WorldOptions Options() {
     WorldOptions options;
     options.vms = 1;
@@ -150,7 +166,7 @@
 
 // What was not run goes to another server; an order is never run twice.
 BOOST_AUTO_TEST_CASE(order_is_sent_again_only_when_it_has_not_run) {
-  absl::SleepFor(kFleetKnown);
+  AwaitRetryBudget();
   misbehaving = "s1";
   desk = ReplicaBehavior::kShed;
   for (int i = 0; i < 12; ++i) {
