Let shares of the retry burst end with a lease, and grow only after it

What was at stake: the repeats of a large deployment that loses VMs stay within the budget in every window.

Cause: a VM kept its share for as long as it ran, also without a coordinator, while the coordinator forgot it 5 s after its session and gave the others a larger share at once, though what the lost VM had sent still counts in the window.

Change: a VM has a share for 4 s after the moment at which a coordinator counted it at the earliest, by the clock of the session, so that a state that lay in the socket of a starved VM confirms nothing. It uses the highest number of VMs of the last window and lease. Both concern the burst only; the ratio is unaffected.

--- a/apps/marigoldquayd/platform_node.cc
+++ b/apps/marigoldquayd/platform_node.cc
@@ -178,6 +178,7 @@
         store_(store_connections_, settings_.store),
         self_(MakeSelf(settings_)),
         balancer_(settings_.availability_zone, health_),
+        retry_share_(settings_.retry_window),
         budgets_(RetryLimits()),
         presence_(
             io_, clock_, store_, self_, [this] { return NeedsMembers(); },
@@ -229,6 +230,14 @@
   }
 
  private:
+  // What the last log event on the share of the retry budget named.
+  struct LoggedShare {
+    std::size_t members = 0;
+    bool counted = false;
+
+    bool operator==(const LoggedShare&) const = default;
+  };
+
   void Start(Yield yield) {
     if (!StartListeners(yield)) {
       FlushLogging();
@@ -284,7 +293,7 @@
 
   RetryBudgetLimits RetryLimits() const {
     return LimitsOfVm({settings_.retry_ratio, settings_.retry_burst, settings_.retry_window},
-                      retry_share_.value());
+                      retry_share_.At(clock_.Now()));
   }
 
   bool StartListeners(Yield yield) {
@@ -326,8 +335,8 @@
   }
 
   // Applied at once: until the next housekeeping a VM would go on with a share that is too large.
-  void OnMemberCount(std::size_t members) override {
-    retry_share_.OnMemberCount(members);
+  void OnMemberCount(std::size_t members, absl::Time confirmed_at) override {
+    retry_share_.OnMemberCount(members, confirmed_at, clock_.Now());
     ApplyRetryLimits();
   }
 
@@ -412,9 +421,11 @@
   }
 
   void ApplyRetryLimits() {
+    retry_share_.SetWindow(settings_.retry_window);
     const RetryBudgetLimits limits = RetryLimits();
     budgets_.SetLimits(limits);
-    const std::size_t members = retry_share_.members();
+    const std::size_t members = retry_share_.members(clock_.Now());
+    const bool counted = retry_share_.At(clock_.Now()) > 0;
     auto& metrics = MetricsRegistry::Global();
     metrics.gauge("marigoldquay_fleet_members", "VMs that share the budgets; 0 while unknown.")
         .Set(static_cast<std::int64_t>(members));
@@ -422,9 +433,11 @@
         .gauge("marigoldquay_relay_retry_burst_hundredths",
                "Retries beyond the ratio that this VM may send in a window, in hundredths.")
         .Set(static_cast<std::int64_t>(100 * limits.burst));
-    if (std::exchange(logged_members_, members) == members) return;
+    const LoggedShare share{members, counted};
+    if (std::exchange(logged_share_, share) == share) return;
     LogFields fields;
     fields.Add("members", static_cast<std::int64_t>(members))
+        .Add("counted", counted)
         .Add("burst", absl::StrCat(limits.burst))
         .Add("ratio", absl::StrCat(limits.ratio));
     Log().Event("retry_limits", fields);
@@ -524,8 +537,7 @@
   HttpListener metrics_listener_;
   bool draining_ = false;
   bool announced_ready_ = false;
-  // Number of VMs in the last log event on it.
-  std::size_t logged_members_ = 0;
+  LoggedShare logged_share_;
 };
 
 }  // namespace
--- a/packages/fleet/include/marigoldquay/fleet/coordinator_link.h
+++ b/packages/fleet/include/marigoldquay/fleet/coordinator_link.h
@@ -39,8 +39,9 @@
   /// The coordinator has this version of the configuration. `record` is its stored form, or empty
   /// when it has to be read from the store.
   virtual void OnCatalog(std::uint64_t version, const std::string& record) = 0;
-  /// The coordinator counts this VM as one of `members`; 0 while it does not know the number.
-  virtual void OnMemberCount(std::size_t members) = 0;
+  /// The coordinator counts this VM as one of `members`; 0 while it does not know the number. It
+  /// did so at `confirmed_at` or later.
+  virtual void OnMemberCount(std::size_t members, absl::Time confirmed_at) = 0;
 };
 
 /// State of the local VM that the link queries.
@@ -165,7 +166,9 @@
   std::optional<FleetMember> ChooseCoordinator() const;
   void ProbePreferredCoordinator();
   void ApplyMembers(const protocol::FleetStateT& state);
-  void ApplyFeed(const protocol::FleetStateT& state);
+  void ApplyFeed(const protocol::FleetStateT& state, absl::Time sent_at);
+  // When the state that has just arrived was sent, on the clock of this VM, at the earliest.
+  absl::Time EarliestSend(const protocol::FleetStateT& state);
   void FollowRedirect(const FleetMember& preferred);
   bool ReportIsDue() const;
   // Era, age and contents of the store data that the coordinator may not have.
--- a/packages/fleet/src/coordinator_link.cc
+++ b/packages/fleet/src/coordinator_link.cc
@@ -291,7 +291,18 @@
   }
 }
 
-void CoordinatorLink::ApplyFeed(const protocol::FleetStateT& state) {
+absl::Time CoordinatorLink::EarliestSend(const protocol::FleetStateT& state) {
+  if (FeedsOthers()) return clock_.Now();
+  if (state_sent_ms_ == 0) {
+    // The first state of a session follows the first report.
+    peer_clock_.OnAnswer(session_start_time_, ClockFromWire(state.sent_ms));
+  }
+  state_sent_ms_ = state.sent_ms;
+  state_arrived_at_ = clock_.Now();
+  return peer_clock_.OnMessage(ClockFromWire(state.sent_ms), state_arrived_at_);
+}
+
+void CoordinatorLink::ApplyFeed(const protocol::FleetStateT& state, absl::Time sent_at) {
   if (FeedsOthers()) return;
   ReplicaChanges changes;
   for (const auto& entry : state.backend_servers) {
@@ -300,13 +311,6 @@
   changes.removed = state.removed_servers;
   feed_.OnReplicaChanges(changes, state.whole_servers, state.store_era);
   feed_.OnCatalog(state.catalog_version, std::string(state.catalog.begin(), state.catalog.end()));
-  if (state_sent_ms_ == 0) {
-    // The first state of a session follows the first report.
-    peer_clock_.OnAnswer(session_start_time_, ClockFromWire(state.sent_ms));
-  }
-  state_sent_ms_ = state.sent_ms;
-  state_arrived_at_ = clock_.Now();
-  const absl::Time sent_at = peer_clock_.OnMessage(ClockFromWire(state.sent_ms), state_arrived_at_);
   const DataOrigin origin{state.store_era, sent_at - absl::Milliseconds(state.store_age_ms)};
   // A new coordinator may have older data.
   feed_origin_ = std::max(feed_origin_, origin);
@@ -344,8 +348,9 @@
     (void)quarantine_.Adopt(FromWire(*quarantined, clock_.Now()), clock_.Now());
   }
   suspected_requests_ = state.suspected_requests;
-  ApplyFeed(state);
-  feed_.OnMemberCount(state.member_count);
+  const absl::Time sent_at = EarliestSend(state);
+  ApplyFeed(state, sent_at);
+  feed_.OnMemberCount(state.member_count, sent_at);
   FollowRedirect(FromWire(*state.coordinator));
 }
 
