Ask again whether a server is leaving just before a request goes out

Found by reading, a possible cause of what the users saw, not traced: DRAIN in large deployments; a request reaches a backend server that its VM already knew to be leaving.

Cause: the list was asked when the server was chosen. Between that and the sending lie a new connection (up to 2 x 120 ms, longer on a starved VM), the charge of the server's request limit, the wait for a placement and, for the decode engine, the whole prefill. RunPrefill did not look at draining at all.

Change: BackendAttempt::Start, which first sends, repeats and decode steps share, and SendPrefillRequest ask the list right before they write, with no wait in between; the first write to the socket is made in the same step. A server that is draining, removed or at another address gets nothing; the request goes to another one, has not run, and costs no execution. A decode engine that left is not suspended as unreachable.

--- a/packages/relay/src/backend_attempt.cc
+++ b/packages/relay/src/backend_attempt.cc
@@ -81,6 +81,11 @@
                 connected.error().ToString());
   }
   if (state_.cancellation.cancelled()) return AttemptOutcome::kCancelled;
+  if (!MayReceiveRequests(state_.context, replica_)) {
+    server_left_ = true;
+    detail_ = absl::StrCat("backend server ", replica_.id, " left before the request was sent");
+    return AttemptOutcome::kNotExecuted;
+  }
   close_on_cancel_ =
       std::make_unique<Cancellation::Hook>(state_.cancellation, [this] { connection_->Close(); });
   may_have_reached_ = true;
--- a/packages/relay/src/backend_attempt.h
+++ b/packages/relay/src/backend_attempt.h
@@ -65,6 +65,8 @@
   const Replica& replica() const { return replica_; }
   /// Whether any bytes of the request may have reached the server.
   bool may_have_reached() const { return may_have_reached_; }
+  /// Whether the request was not sent because the server had left by then.
+  bool server_left() const { return server_left_; }
   /// Whether the connection ended before the response did, which a crash of the server looks like.
   bool connection_lost() const { return connection_lost_; }
   /// Description of the failure, for logs and error messages.
@@ -92,6 +94,7 @@
   EventBoundary event_boundary_;
   bool connection_reused_ = false;
   bool may_have_reached_ = false;
+  bool server_left_ = false;
   bool connection_lost_ = false;
   absl::Time sent_at_;
   std::string detail_;
--- a/packages/relay/src/model_relay.cc
+++ b/packages/relay/src/model_relay.cc
@@ -200,7 +200,7 @@
   // Returns null when the prefill failed; the decode engine then processes the prompt itself.
   std::unique_ptr<PendingKvCache> RunPrefill(const StreamPlacement& placement, Yield yield) {
     const Replica* listed = state_.context.cluster.replicas().Find(*placement.prefill);
-    if (listed == nullptr) {
+    if (listed == nullptr || listed->draining) {
       state_.context.placer.OnPrefillEnd(placement, false);
       return nullptr;
     }
@@ -238,6 +238,10 @@
       const auto connected = connection->Connect(kPrefillConnectTimeout, yield);
       if (!connected) return connected.error();
     }
+    if (!MayReceiveRequests(state_.context, engine)) {
+      return Error{ErrorCode::kNotSent, "read prompt", engine.address,
+                   "the engine left before the prompt was sent"};
+    }
     const absl::Time sent_at = state_.Now();
     CountBackendRequest(engine.id);
     const auto sent = connection->Send(
@@ -321,7 +325,7 @@
   NextStep HandleRejection(const StreamPlacement& placement, const BackendAttempt& attempt,
                            bool had_cache, PlacementGuard& guard) {
     if (!attempt.may_have_reached()) {
-      guard.End(StreamEnd::kFailed);
+      guard.End(attempt.server_left() ? StreamEnd::kRefused : StreamEnd::kFailed);
       return Exclude(attempt.replica().id);
     }
     if (attempt.response().wrong_instance) {
--- a/packages/relay/src/request_state.cc
+++ b/packages/relay/src/request_state.cc
@@ -105,6 +105,11 @@
   RelayLog().Event("backend_server_refuses", fields);
 }
 
+bool MayReceiveRequests(const FrontContext& context, const Replica& server) {
+  const Replica* listed = context.cluster.replicas().Find(server.id);
+  return listed != nullptr && !listed->draining && listed->address == server.address;
+}
+
 bool HasCrashed(const FrontContext& context, const Address& server, Yield yield) {
   SleepFor(context.io, kCrashProbeDelay, yield);
   const auto connection = context.connections.MakeNew(server);
--- a/packages/relay/src/request_state.h
+++ b/packages/relay/src/request_state.h
@@ -70,6 +70,10 @@
 void RecordServerState(const RequestState& state, const Replica& server,
                        const BackendResponse& response, absl::Time sent_at);
 
+/// Whether the server is still listed at its address and not leaving. Time passes between the
+/// choice of a server and the sending, so this is checked right before the bytes go out.
+bool MayReceiveRequests(const FrontContext& context, const Replica& server);
+
 /// Whether the server has crashed, after its connection was lost: whether it accepts no connections
 /// soon after that.
 bool HasCrashed(const FrontContext& context, const Address& server, Yield yield);
--- /dev/null
+++ b/packages/relay/tests/front_fixture.h
@@ -0,0 +1,263 @@
+// A front handler whose backend servers, placements and quotas are stand-ins in the same process.
+#ifndef MARIGOLDQUAY_RELAY_TESTS_FRONT_FIXTURE_H_
+#define MARIGOLDQUAY_RELAY_TESTS_FRONT_FIXTURE_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "marigoldquay/core/clock.h"
+#include "marigoldquay/relay/front_handler.h"
+
+namespace marigoldquay::testing {
+
+/// Reads the key from the field "Key" and marks prefills with "Stage".
+class PlainDialect final : public BackendDialect {
+ public:
+  ErrorOr<RequestMetadata> DecodeRequestMetadata(const HttpRequest& request) const override {
+    RequestMetadata metadata;
+    metadata.id = "r1";
+    metadata.key = std::string(ToAbsl(request["Key"]));
+    return metadata;
+  }
+  ForwardedRequest MakeBackendRequest(const HttpRequest& request,
+                                      const BackendCall& call) const override {
+    ForwardedRequest forwarded(request.method(), request.target(), 11);
+    forwarded.set(http::field::host, "backend");
+    if (call.prefill_only) forwarded.set("Stage", "prefill");
+    forwarded.body() = {request.body().data(), request.body().size()};
+    forwarded.prepare_payload();
+    return forwarded;
+  }
+  BackendResponse DecodeResponse(unsigned status, const HttpFields& fields) const override {
+    (void)fields;
+    BackendResponse response;
+    response.successful = status == 200;
+    response.has_signature = true;
+    return response;
+  }
+  HttpFields MakeCallerFields(const HttpFields& fields) const override {
+    (void)fields;
+    return {};
+  }
+  ErrorOr<PrefillHandle> DecodePrefill(const HttpReply& reply,
+                                       const Address& engine) const override {
+    (void)engine;
+    return PrefillHandle{reply.body};
+  }
+  std::string MakeKvSource(const Address& engine, const PrefillHandle& prefill) const override {
+    return engine + "/" + prefill.handle;
+  }
+  HttpRequest MakePrefillRelease(const PrefillHandle& prefill,
+                                 const Address& engine) const override {
+    (void)engine;
+    return {http::verb::delete_, "/release/" + prefill.handle, 11};
+  }
+  HttpRequest MakeRoleOrder(const RoleOrder& order) const override {
+    (void)order;
+    return {};
+  }
+  RoleOrderOutcome DecodeRoleOrder(const HttpReply& reply) const override {
+    (void)reply;
+    return RoleOrderOutcome::kRejected;
+  }
+};
+
+/// A backend server that answers each request at once.
+class AnsweringServer final : public HttpHandler {
+ public:
+  explicit AnsweringServer(asio::io_context& io) : listener_(io, *this, 10) {
+    (void)listener_.Start("127.0.0.1:0");
+  }
+  void Handle(HttpRequest& request, HttpReplyWriter& reply, Cancellation& cancellation,
+              Yield yield) override {
+    (void)request;
+    (void)cancellation;
+    ++requests_;
+    (void)reply.SendReply(200, {}, "data: x\n\n", yield);
+  }
+  Address address() const { return listener_.address(); }
+  int requests() const { return requests_; }
+
+ private:
+  HttpListener listener_;
+  int requests_ = 0;
+};
+
+/// Grants each placement of `placements` in turn and refuses after that; admits all requests.
+class ScriptedPlacer final : public StreamPlacer, public CrashGuard, public QuotaGate {
+ public:
+  PlacementOutcome Place(const StreamPlacementRequest& request, Cancellation& cancellation,
+                         Yield yield) override {
+    (void)request;
+    (void)cancellation;
+    (void)yield;
+    on_place();
+    if (placements.empty()) return PlacementRefusal{false, absl::Seconds(1), "none"};
+    const StreamPlacement placement = placements.front();
+    placements.erase(placements.begin());
+    return placement;
+  }
+  void OnPrefillEnd(const StreamPlacement& placement, bool ok) override {
+    (void)placement;
+    (void)ok;
+  }
+  void OnFirstEvent(const StreamPlacement& placement) override { (void)placement; }
+  void OnEnd(const StreamPlacement& placement, StreamEnd end) override {
+    (void)placement;
+    ends.push_back(end);
+  }
+  void OnCrash(const ServerCrash& crash) override { (void)crash; }
+  void OnRequestServed(RequestFingerprint request) override { (void)request; }
+  absl::Duration QuarantineTimeLeft(std::span<const RequestTrait> traits) const override {
+    (void)traits;
+    return absl::ZeroDuration();
+  }
+  QuotaDecision Admit(const CatalogWorkspace& workspace, TokenCount tokens,
+                      Cancellation& cancellation, Yield yield) override {
+    (void)workspace;
+    (void)tokens;
+    (void)cancellation;
+    (void)yield;
+    return {true, absl::ZeroDuration()};
+  }
+  QuotaDecision AdmitRequest(const Replica& server, Cancellation& cancellation,
+                             Yield yield) override {
+    (void)server;
+    (void)cancellation;
+    (void)yield;
+    return {true, absl::ZeroDuration()};
+  }
+
+  std::function<void()> on_place = [] {};
+  std::vector<StreamPlacement> placements;
+  std::vector<StreamEnd> ends;
+};
+
+/// Keeps the response for the test.
+class KeptReply final : public HttpReplyWriter {
+ public:
+  ErrorOrVoid SendReply(unsigned status, const HttpFields& fields, std::string body,
+                        Yield yield) override {
+    (void)yield;
+    status_ = status;
+    fields_ = fields;
+    body_ = std::move(body);
+    return std::monostate();
+  }
+  ErrorOrVoid Begin(unsigned status, const HttpFields& fields, std::optional<std::uint64_t> length,
+                    Yield yield) override {
+    (void)length;
+    return SendReply(status, fields, "", yield);
+  }
+  ErrorOrVoid Append(absl::string_view chunk, Yield yield) override {
+    (void)yield;
+    body_.append(chunk.data(), chunk.size());
+    return std::monostate();
+  }
+  ErrorOrVoid Finish(Yield yield) override {
+    (void)yield;
+    return std::monostate();
+  }
+  void Abort() override { status_ = 0; }
+  void CloseAfterReply() override {}
+  bool started() const override { return status_ != 0; }
+
+  unsigned status() const { return status_; }
+  std::string field(http::field name) const { return std::string(ToAbsl(fields_[name])); }
+
+ private:
+  unsigned status_ = 0;
+  HttpFields fields_;
+  std::string body_;
+};
+
+/// Routes of host "shop.example": /plain/ of the service "desk" with the servers s1 and s2, /model/
+/// of the service "model" with the engines p1 and d1. Requests need the key "key-1".
+class FrontFixture {
+ public:
+  FrontFixture() {
+    CatalogContents contents;
+    contents.version = 1;
+    contents.requires_keys = true;
+    contents.services = {{"desk", 0, std::nullopt}, {"model", 0, EngineProfile{}}};
+    contents.routes = {MakeRoute("/plain/", RequestKind::kIdempotent, "desk"),
+                       MakeRoute("/model/", RequestKind::kStream, "model")};
+    contents.workspaces = {{"w1", {"key-1"}, std::nullopt, {}}};
+    view.Apply(std::move(contents));
+    for (const char* id : {"s1", "s2"}) AddServer(id, "desk", std::nullopt);
+    AddServer("p1", "model", EngineRole::kPrefill);
+    AddServer("d1", "model", EngineRole::kDecode);
+  }
+
+  /// Handles one request; `meanwhile` runs when the handler waits for the first time.
+  KeptReply Call(
+      const std::string& path, const std::string& key = "key-1",
+      const std::function<void()>& meanwhile = [] {}) {
+    KeptReply reply;
+    bool done = false;
+    SpawnFiber(io, "caller", [&](Yield yield) {
+      HttpRequest request(http::verb::post, path, 11, "body");
+      request.set(http::field::host, "shop.example");
+      request.set("Key", key);
+      Cancellation cancellation;
+      asio::post(io, meanwhile);
+      front.Handle(request, reply, cancellation, yield);
+      done = true;
+    });
+    // Idle connections would keep run() waiting.
+    while (!done) io.run_one();
+    return reply;
+  }
+  int RequestsAt(const std::string& id) const { return servers.at(id)->requests(); }
+
+  asio::io_context io;
+  SystemClock clock;
+  ClusterView view;
+  absl::Time catalog_confirmed_at = clock.Now();
+  ScriptedPlacer placer;
+  std::map<std::string, std::unique_ptr<AnsweringServer>> servers;
+
+ private:
+  static CatalogRoute MakeRoute(const std::string& prefix, RequestKind kind,
+                                const std::string& service) {
+    CatalogRoute route;
+    route.name = prefix;
+    route.host = "shop.example";
+    route.path_prefix = prefix;
+    route.kind = kind;
+    route.timeout = absl::Seconds(5);
+    route.latency_target = absl::Seconds(1);
+    route.max_attempts = 2;
+    route.services = {{service, 1}};
+    return route;
+  }
+  void AddServer(const std::string& id, const std::string& service,
+                 std::optional<EngineRole> role) {
+    servers[id] = std::make_unique<AnsweringServer>(io);
+    Replica replica;
+    replica.id = id;
+    replica.service = service;
+    replica.address = servers[id]->address();
+    replica.role = role;
+    view.replicas().Upsert(replica);
+  }
+
+  ConnectionPool connections_{io, clock};
+  PlainDialect dialect_;
+  ReplicaHealth health_;
+  ReplicaBalancer balancer_{"", health_};
+  RetryBudgets budgets_{{.ratio = 1, .burst = 10}};
+
+ public:
+  FrontHandler front{{io, clock, view, dialect_, connections_, health_, balancer_, budgets_, placer,
+                      placer, placer, [] { return std::size_t{1}; }, [](const BackendServerId&) {},
+                      [](const StatedRequestLimit&) {}}};
+};
+
+}  // namespace marigoldquay::testing
+
+#endif  // MARIGOLDQUAY_RELAY_TESTS_FRONT_FIXTURE_H_
