Answer 503 instead of 404 and 401 while a newer configuration may be in force

Cause: a refusal went out by the newest configuration that the VM had, whatever its age. No VM asked when it was last known to be the newest.

A version that is only announced, and the report of another VM, confirm nothing. A request that the configuration does not allow is refused as such only within 0.9 of the bound on changes; after that it waits up to 100 ms for a confirmation, is looked up again, and is answered 503 with Retry-After 0.5 if there is none. What the old configuration routes is served as before. A version that is acknowledged after the confirmation is not due yet, so a 404 within the bound is right whatever came since.

The event of such a request has catalog_age_ms; two metrics count these requests.

--- a/apps/marigoldquayd/platform_node.cc
+++ b/apps/marigoldquayd/platform_node.cc
@@ -64,6 +64,9 @@
 constexpr absl::Duration kHousekeeping = absl::Seconds(1);
 // Part of the quota's tolerance that is handed out; the rest covers VMs that decide on their own.
 constexpr double kQuotaTolerancePart = 0.6;
+// Part of the bound on a change within which the configuration has to be confirmed for a refusal by
+// it. The rest covers the clock's error and the way of the refusal.
+constexpr double kConfirmedPart = 0.9;
 // Descriptors that the deployment reserves for files.
 constexpr int kReservedDescriptors = 200;
 // Memory that a connection with a request takes, with its stack.
@@ -190,7 +193,8 @@
                       [this](const StatedRequestLimit& stated) { OnRequestLimit(stated); },
                       [this](const ServerDeparture& departure) { OnDeparture(departure); },
                       [this](std::uint64_t version, const std::string& record) {
-                        OnCatalog(version, record);
+                        // A report does not say that the version is the newest one.
+                        OnCatalog(version, record, DataOrigin());
                       }},
                      session_memory_),
         link_(io_, clock_, view_, presence_, *this,
@@ -207,6 +211,7 @@
         replica_follower_(io_, clock_, store_, view_, link_, [this] { OnReplicaChange(); }),
         front_({io_, clock_, view_, dialect_, connections_, health_, balancer_, budgets_, link_,
                 link_, link_, [this] { return link_.member_count(); },
+                [this] { return catalog_follower_.confirmed_at(); },
                 [this](const BackendServerId& id) { OnLeavingServer(id); },
                 [this](const StatedRequestLimit& stated) { OnRequestLimit(stated); }}),
         directory_(
@@ -331,8 +336,9 @@
   void OnReplicaChanges(const ReplicaChanges& changes, bool whole, StoreEra era) override {
     replica_follower_.ApplyFeed(changes, whole, era);
   }
-  void OnCatalog(std::uint64_t version, const std::string& record) override {
-    catalog_follower_.OnVersionAnnounced(version, record);
+  void OnCatalog(std::uint64_t version, const std::string& record,
+                 const DataOrigin& origin) override {
+    catalog_follower_.OnVersionAnnounced(version, record, origin);
   }
 
   // Applied at once: until the next housekeeping a VM would go on with a share that is too large.
@@ -423,6 +429,7 @@
     coordinator_.SetQuotaTolerance(tolerance);
     link_.SetQuotaTolerance(tolerance);
     link_.SetMaxFeedDelay(settings_.change_bound);
+    front_.SetMaxCatalogAge(kConfirmedPart * settings_.change_bound);
     ApplyRetryLimits();
   }
 
--- a/packages/fleet/include/marigoldquay/fleet/coordinator_link.h
+++ b/packages/fleet/include/marigoldquay/fleet/coordinator_link.h
@@ -36,9 +36,10 @@
   /// `complete` is true when `changes` lists every backend server. `era` is that of the store when
   /// the coordinator read them.
   virtual void OnReplicaChanges(const ReplicaChanges& changes, bool complete, StoreEra era) = 0;
-  /// The coordinator has this version of the configuration. `record` is its stored form, or empty
-  /// when it has to be read from the store.
-  virtual void OnCatalog(std::uint64_t version, const std::string& record) = 0;
+  /// The coordinator has this version of the configuration, the newest one at `origin`. `record` is
+  /// its stored form, or empty when it has to be read from the store.
+  virtual void OnCatalog(std::uint64_t version, const std::string& record,
+                         const DataOrigin& origin) = 0;
   /// The coordinator counts this VM as one of `members`; 0 while it does not know the number. It
   /// did so at `confirmed_at` or later.
   virtual void OnMemberCount(std::size_t members, absl::Time confirmed_at) = 0;
--- a/packages/fleet/include/marigoldquay/fleet/followers.h
+++ b/packages/fleet/include/marigoldquay/fleet/followers.h
@@ -44,9 +44,13 @@
 
   /// Runs until the process ends.
   void Run(Yield yield);
-  /// Called when the coordinator announces a version. `record` is its stored form; when it is empty
-  /// or cannot be decoded, the configuration is read from the store.
-  void OnVersionAnnounced(std::uint64_t version, const std::string& record);
+  /// Called when another VM announces a version, which was the newest one at `origin`. `record` is
+  /// its stored form; when it is empty or cannot be decoded, the configuration is read from the
+  /// store.
+  void OnVersionAnnounced(std::uint64_t version, const std::string& record,
+                          const DataOrigin& origin);
+  /// When the configuration of this VM was last known to be the newest one; InfinitePast before.
+  absl::Time confirmed_at() const { return confirmed_.read_at; }
   /// The last read of the store by this VM.
   const DataOrigin& origin() const { return origin_; }
 
@@ -68,6 +72,7 @@
   // Position of the next read; unset when the newest configuration has to be read in full.
   std::optional<StorePosition> next_;
   DataOrigin origin_;
+  DataOrigin confirmed_;
   RetryDelay retry_delay_;
   bool store_reachable_ = true;
 };
--- a/packages/fleet/src/coordinator_link.cc
+++ b/packages/fleet/src/coordinator_link.cc
@@ -310,10 +310,11 @@
   }
   changes.removed = state.removed_servers;
   feed_.OnReplicaChanges(changes, state.whole_servers, state.store_era);
-  feed_.OnCatalog(state.catalog_version, std::string(state.catalog.begin(), state.catalog.end()));
   const DataOrigin origin{state.store_era, sent_at - absl::Milliseconds(state.store_age_ms)};
   // A new coordinator may have older data.
   feed_origin_ = std::max(feed_origin_, origin);
+  feed_.OnCatalog(state.catalog_version, std::string(state.catalog.begin(), state.catalog.end()),
+                  origin);
   if (state.catalog_source == hooks_.self().instance.vm) SendCatalog(state.catalog_version);
 }
 
--- a/packages/fleet/src/followers.cc
+++ b/packages/fleet/src/followers.cc
@@ -84,7 +84,8 @@
   if (applied) on_change_();
 }
 
-void CatalogFollower::OnVersionAnnounced(std::uint64_t version, const std::string& record) {
+void CatalogFollower::OnVersionAnnounced(std::uint64_t version, const std::string& record,
+                                         const DataOrigin& origin) {
   const std::uint64_t known_version = view_.catalog() ? view_.catalog()->version() : 0;
   if (version > known_version && !record.empty()) {
     auto contents = store_.DecodeCatalog(record);
@@ -96,6 +97,9 @@
       LogSkipped("configuration_skipped", contents.error().ToString());
     }
   }
+  if (view_.catalog() && view_.catalog()->version() >= version) {
+    confirmed_ = std::max(confirmed_, origin);
+  }
   if (version <= announced_version_) return;
   announced_version_ = version;
   wake_timer_.cancel();
@@ -135,6 +139,9 @@
       const bool has_catalog = has_update || view_.catalog() != nullptr;
       next_ = update->next;
       Apply(std::move(*update), "store");
+      // A stale read lacks the version that the feed has announced.
+      const bool newest = view_.catalog() && view_.catalog()->version() >= announced_version_;
+      if (newest) confirmed_ = std::max(confirmed_, origin_);
       if (!has_catalog) next_.reset();
       // A stale read, without the version that the feed announced, is repeated after a pause.
       if (!has_catalog || (!has_update && FollowsFeed())) SleepFor(io_, kStaleReadPause, yield);
--- a/packages/relay/include/marigoldquay/relay/front_handler.h
+++ b/packages/relay/include/marigoldquay/relay/front_handler.h
@@ -54,6 +54,9 @@
   QuotaGate& quota;
   /// Number of VMs that share the connection limit of a backend server.
   std::function<std::size_t()> member_count;
+  /// When the configuration in `cluster` was last known to be the newest one of the store, by a
+  /// read of this VM or through the coordinator; InfinitePast before that.
+  std::function<absl::Time()> catalog_confirmed_at;
   /// Called when a backend server announces that it is shutting down.
   std::function<void(const BackendServerId&)> on_draining_server;
   /// Called with the request limit that a response states, or that it no longer states one.
@@ -71,15 +74,24 @@
   bool closing() const override { return closing_; }
   void OnRejected(unsigned status, absl::string_view reason) override;
 
+  /// Requests that the configuration does not allow are refused as such only while it was confirmed
+  /// within `age`; after that a newer one may allow them, and they are answered 503.
+  void SetMaxCatalogAge(absl::Duration age) { max_catalog_age_ = age; }
   /// Rejects requests that may take longer than until `exit_time`, when the process exits.
   void RejectRequestsBeyond(absl::Time exit_time) { exit_time_ = exit_time; }
   /// Closes each connection after its current response.
   void CloseConnections() { closing_ = true; }
 
  private:
+  // Looks up route, workspace and service; sends an error and returns false when one is missing.
+  bool Resolve(internal::RequestState& state, Yield yield);
+  // Sends the error of a request that the configuration does not allow.
+  void Refuse(internal::RequestState& state, unsigned status, absl::string_view reason,
+              Yield yield);
   void Relay(internal::RequestState& state, Yield yield);
 
   FrontContext context_;
+  absl::Duration max_catalog_age_ = absl::InfiniteDuration();
   absl::Time exit_time_ = absl::InfiniteFuture();
   bool closing_ = false;
 };
--- a/packages/relay/src/front_handler.cc
+++ b/packages/relay/src/front_handler.cc
@@ -1,6 +1,8 @@
 // Validates callers' requests, cheapest checks first, and relays them.
 #include "marigoldquay/relay/front_handler.h"
 
+#include <algorithm>
+#include <optional>
 #include <random>
 
 #include "absl/strings/str_cat.h"
@@ -16,7 +18,16 @@
 using internal::RequestState;
 using internal::SendError;
 
+constexpr unsigned kUnavailable = 503;
 constexpr absl::Duration kNoConfigurationRetryAfter = absl::Milliseconds(500);
+// Retry-After of a refusal that a newer configuration may lift, and the time that a request waits
+// for one first: the next state of the coordinator or answer of the store is often that close, e.g.
+// for a process that has just been resumed.
+constexpr absl::Duration kUnconfirmedRetryAfter = absl::Milliseconds(500);
+constexpr absl::Duration kMaxConfirmationWait = absl::Milliseconds(100);
+constexpr absl::Duration kConfirmationPoll = absl::Milliseconds(10);
+// Upper bound of the ages that are logged.
+constexpr absl::Duration kMaxLoggedAge = absl::Hours(1);
 constexpr absl::Duration kStoppingRetryAfter = absl::Milliseconds(50);
 // Subtracted from the time that the caller waits, so that the response arrives within it.
 constexpr absl::Duration kResponseMargin = absl::Milliseconds(5);
@@ -38,29 +49,42 @@
   return route.services.back().service;
 }
 
-// Looks up route, workspace and service; sends an error and returns false when one is missing.
-bool Resolve(RequestState& state, Yield yield) {
+/// Why the configuration does not allow a request.
+struct Refusal {
+  unsigned status = 0;
+  absl::string_view reason;
+};
+
+// Looks up the route and the workspace in the newest configuration.
+std::optional<Refusal> FindRouteAndWorkspace(RequestState& state) {
+  state.catalog = state.context.cluster.catalog();
+  state.workspace = nullptr;
   const auto host = ToAbsl(state.request[http::field::host]);
   const auto path = PathOf(ToAbsl(state.request.target()));
   state.route = state.catalog->FindRoute(host, path);
-  if (state.route == nullptr) {
-    SendError(state, 404, "no route matches the host and path", absl::ZeroDuration(), yield);
-    return false;
-  }
+  if (state.route == nullptr) return Refusal{404, "no route matches the host and path"};
   const bool needs_key = state.catalog->contents().requires_keys && !state.route->anonymous;
-  if (needs_key) {
-    state.workspace = state.catalog->FindWorkspaceByKey(state.metadata.key);
-    if (state.workspace == nullptr) {
-      SendError(state, 401, "unknown key", absl::ZeroDuration(), yield);
-      return false;
-    }
-  }
-  state.service = state.catalog->FindService(ChooseService(*state.route));
-  if (state.service == nullptr) {
-    SendError(state, 503, "the route refers to an unknown service", absl::Seconds(1), yield);
-    return false;
-  }
-  return true;
+  if (!needs_key) return std::nullopt;
+  state.workspace = state.catalog->FindWorkspaceByKey(state.metadata.key);
+  if (state.workspace == nullptr) return Refusal{401, "unknown key"};
+  return std::nullopt;
+}
+
+absl::Duration CatalogAge(const RequestState& state) {
+  return state.Now() - state.context.catalog_confirmed_at();
+}
+
+void CountRefusal(const RequestState& state) {
+  auto& metrics = MetricsRegistry::Global();
+  metrics
+      .summary("marigoldquay_relay_refusal_catalog_age_seconds",
+               "Age of the configuration's confirmation at refusals by it.")
+      .Observe(absl::ToDoubleSeconds(*state.catalog_age));
+  if (state.status != kUnavailable) return;
+  metrics
+      .counter("marigoldquay_relay_unconfirmed_refusals_total",
+               "Requests answered 503 because a newer configuration may allow them.")
+      .Increment();
 }
 
 void SetDeadline(RequestState& state) {
@@ -112,6 +136,7 @@
       .Add("framing", ToText(state.framing))
       .Add("arrivals", state.send_count)
       .Add("took_ms", elapsed);
+  if (state.catalog_age) fields.Add("catalog_age_ms", *state.catalog_age);
   RelayLog().Event("request", fields);
   auto& metrics = MetricsRegistry::Global();
   metrics
@@ -167,6 +192,46 @@
   LogRequest(state);
 }
 
+bool FrontHandler::Resolve(internal::RequestState& state, Yield yield) {
+  auto refusal = FindRouteAndWorkspace(state);
+  if (refusal && CatalogAge(state) > max_catalog_age_) {
+    const absl::Time until = state.Now() + kMaxConfirmationWait;
+    while (CatalogAge(state) > max_catalog_age_ && state.Now() < until &&
+           !state.cancellation.cancelled()) {
+      SleepFor(context_.io, kConfirmationPoll, yield);
+    }
+    if (state.cancellation.cancelled()) {
+      HandleCancellation(state, yield);
+      return false;
+    }
+    refusal = FindRouteAndWorkspace(state);
+  }
+  if (refusal) {
+    Refuse(state, refusal->status, refusal->reason, yield);
+    return false;
+  }
+  state.service = state.catalog->FindService(ChooseService(*state.route));
+  if (state.service == nullptr) {
+    SendError(state, kUnavailable, "the route refers to an unknown service", absl::Seconds(1),
+              yield);
+    return false;
+  }
+  return true;
+}
+
+void FrontHandler::Refuse(internal::RequestState& state, unsigned status, absl::string_view reason,
+                          Yield yield) {
+  state.catalog_age = std::min(CatalogAge(state), kMaxLoggedAge);
+  if (*state.catalog_age > max_catalog_age_) {
+    SendError(state, kUnavailable,
+              absl::StrCat(reason, ", but the configuration may be out of date"),
+              kUnconfirmedRetryAfter, yield);
+  } else {
+    SendError(state, status, reason, absl::ZeroDuration(), yield);
+  }
+  CountRefusal(state);
+}
+
 void FrontHandler::Relay(internal::RequestState& state, Yield yield) {
   const bool model = state.service->engine.has_value();
   const bool stream = state.route->kind == RequestKind::kStream;
--- a/packages/relay/src/request_state.h
+++ b/packages/relay/src/request_state.h
@@ -42,6 +42,8 @@
   BackendServerId last_server;
   // Framing of the last response that was accepted from a backend server.
   std::optional<BodyFraming> framing;
+  // Age of the configuration's confirmation, when the request was refused by the configuration.
+  std::optional<absl::Duration> catalog_age;
   unsigned status = 0;
   std::string outcome;
 
--- a/packages/relay/tests/front_fixture.h
+++ b/packages/relay/tests/front_fixture.h
@@ -180,14 +180,13 @@
 class FrontFixture {
  public:
   FrontFixture() {
-    CatalogContents contents;
     contents.version = 1;
     contents.requires_keys = true;
     contents.services = {{"desk", 0, std::nullopt}, {"model", 0, EngineProfile{}}};
     contents.routes = {MakeRoute("/plain/", RequestKind::kIdempotent, "desk"),
                        MakeRoute("/model/", RequestKind::kStream, "model")};
     contents.workspaces = {{"w1", {"key-1"}, std::nullopt, {}}};
-    view.Apply(std::move(contents));
+    view.Apply(contents);
     for (const char* id : {"s1", "s2"}) AddServer(id, "desk", std::nullopt);
     AddServer("p1", "model", EngineRole::kPrefill);
     AddServer("d1", "model", EngineRole::kDecode);
@@ -212,11 +211,19 @@
     while (!done) io.run_one();
     return reply;
   }
+  /// Puts the next configuration in force, which adds the route /new/ and the key "key-2".
+  void AddRouteAndKey() {
+    ++contents.version;
+    contents.routes.push_back(MakeRoute("/new/", RequestKind::kIdempotent, "desk"));
+    contents.workspaces.push_back({"w2", {"key-2"}, std::nullopt, {}});
+    view.Apply(contents);
+  }
   int RequestsAt(const std::string& id) const { return servers.at(id)->requests(); }
 
   asio::io_context io;
   SystemClock clock;
   ClusterView view;
+  CatalogContents contents;
   absl::Time catalog_confirmed_at = clock.Now();
   ScriptedPlacer placer;
   std::map<std::string, std::unique_ptr<AnsweringServer>> servers;
@@ -254,7 +261,8 @@
 
  public:
   FrontHandler front{{io, clock, view, dialect_, connections_, health_, balancer_, budgets_, placer,
-                      placer, placer, [] { return std::size_t{1}; }, [](const BackendServerId&) {},
+                      placer, placer, [] { return std::size_t{1}; },
+                      [this] { return catalog_confirmed_at; }, [](const BackendServerId&) {},
                       [](const StatedRequestLimit&) {}}};
 };
 
--- a/tests/platform/platform_config_test.cc
+++ b/tests/platform/platform_config_test.cc
@@ -255,6 +255,90 @@
   BOOST_TEST(changing.checked() > 100);
 }
 
+// Status of a request on a VM: on a route and with a key that do not exist at first.
+struct Statuses {
+  int new_route = 0;
+  int new_key = 0;
+  int known = 0;
+};
+
+Statuses Ask(const World& world, int vm) {
+  const auto ask = [&](const std::string& path, const std::string& key) {
+    CallerCall call;
+    call.path = path;
+    call.key = key;
+    call.id = NewRequestId();
+    return world.Call(vm, call).status;
+  };
+  return {ask("/new/x", "key-1"), ask("/order/x", "key-new"), ask("/order/x", "key-1")};
+}
+
+void AddRouteAndKey(boost::json::object& config) {
+  auto& routes = config["routes"].as_array();
+  boost::json::object route = routes.front().as_object();
+  route["name"] = "new";
+  route["pathPrefix"] = "/new/";
+  routes.push_back(std::move(route));
+  config["tenants"].as_array().front().as_object()["apiKeys"].as_array().emplace_back("key-new");
+}
+
+// Guards against 404 and 401 for a route and a key that the store has acknowledged, from a VM that
+// has heard neither the store nor another VM for longer than a change may take.
+BOOST_AUTO_TEST_CASE(vm_that_hears_nothing_does_not_refuse_by_its_old_configuration) {
+  WorldOptions options;
+  options.name = "config_silent";
+  options.vms = 1;
+  options.proxied = true;
+  World world(options);
+  BOOST_TEST_REQUIRE(world.AwaitReady(0));
+  const Statuses before = Ask(world, 0);
+  BOOST_TEST(before.new_route == 404);
+  BOOST_TEST(before.new_key == 401);
+  world.Run([&] {
+    LinkFault fault;
+    fault.hold_to_server = fault.hold_to_client = true;
+    world.store_link(0).set_fault(fault);
+  });
+  world.Configure(AddRouteAndKey);
+  absl::SleepFor(kApply);
+  const Statuses silent = Ask(world, 0);
+  BOOST_TEST(silent.new_route == 503);
+  BOOST_TEST(silent.new_key == 503);
+  BOOST_TEST(silent.known == 200);
+  world.Run([&] { world.store_link(0).set_fault({}); });
+  BOOST_TEST(Eventually(kContact, [&] {
+    const Statuses after = Ask(world, 0);
+    return after.new_route == 200 && after.new_key == 200;
+  }));
+}
+
+// Guards against 503 in place of 404 and 401 from VMs that nothing disturbs, and from those whose
+// coordinator fails.
+BOOST_AUTO_TEST_CASE(vm_in_touch_refuses_what_the_configuration_does_not_allow) {
+  WorldOptions options;
+  options.name = "config_calm";
+  options.vms = 3;
+  World world(options);
+  for (int vm = 0; vm < options.vms; ++vm) BOOST_TEST_REQUIRE(world.AwaitReady(vm));
+  absl::SleepFor(kContact);
+  const auto check = [&](int first_vm) {
+    const absl::Time until = absl::Now() + kContact;
+    while (absl::Now() < until) {
+      for (int vm = first_vm; vm < options.vms; ++vm) {
+        const Statuses statuses = Ask(world, vm);
+        BOOST_TEST(statuses.new_route == 404);
+        BOOST_TEST(statuses.new_key == 401);
+        BOOST_TEST(statuses.known == 200);
+      }
+      absl::SleepFor(absl::Milliseconds(20));
+    }
+  };
+  check(0);
+  // The VM that started first coordinates.
+  world.vm(0).Kill();
+  check(1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
