Count data of the store as old as their read, not as their arrival

Found by reading, a possible cause of what the users saw, not traced: CONFIG in large deployments: VMs that nothing disturbs are late with a change.

Cause: both followers took the arrival of an answer for the moment at which its data were new. An answer may be under way for as long as a call may take, 0.8 s beyond its wait, and lies in the socket while the process is starved or frozen. The coordinator passes that age on, so that all its VMs take what they know for up to 0.8 s newer than it is (more after a freeze) and begin to read the store that much too late: 1.4 s + 0.8 s is beyond the 2 s in which a change has to be in force.

Change: data count from the start of their read; the store answers after that. An empty answer to a waiting read counts from the end of its wait, as the store gives none before. The moment of a change within a wait is not known, so one read without a wait follows each change; with that a coordinator does not look out of date while changes come in a row.

--- a/packages/fleet/include/marigoldquay/fleet/followers.h
+++ b/packages/fleet/include/marigoldquay/fleet/followers.h
@@ -51,12 +51,15 @@
                           const DataOrigin& origin);
   /// When the configuration of this VM was last known to be the newest one; InfinitePast before.
   absl::Time confirmed_at() const { return confirmed_.read_at; }
-  /// The last read of the store by this VM.
+  /// The last read of the store by this VM, with the latest time at which the store has certainly
+  /// not answered yet.
   const DataOrigin& origin() const { return origin_; }
 
  private:
   bool FollowsFeed() const;
   absl::Duration CurrentMaxRetryPause() const;
+  // Time that the next read waits for a change.
+  absl::Duration NextWait() const;
   ErrorOr<CatalogUpdate> ReadNext(Yield yield);
   void Apply(CatalogUpdate update, absl::string_view source);
   void LogStoreContact(bool reachable, const std::string& detail);
@@ -73,6 +76,8 @@
   std::optional<StorePosition> next_;
   DataOrigin origin_;
   DataOrigin confirmed_;
+  // Whether the last read waited and brought a change.
+  bool change_unconfirmed_ = false;
   RetryDelay retry_delay_;
   bool store_reachable_ = true;
 };
@@ -95,7 +100,8 @@
   /// Applies changes that the coordinator has read in `era`; `is_full` tells whether they list all
   /// servers.
   void ApplyFeed(const ReplicaChanges& changes, bool is_full, StoreEra era);
-  /// The last read of the store by this VM.
+  /// The last read of the store by this VM, with the latest time at which the store has certainly
+  /// not answered yet.
   const DataOrigin& origin() const { return origin_; }
 
  private:
--- a/packages/fleet/src/followers.cc
+++ b/packages/fleet/src/followers.cc
@@ -113,12 +113,27 @@
 
 bool CatalogFollower::FollowsFeed() const { return view_.catalog() && feed_.FeedIsFresh(); }
 
-ErrorOr<CatalogUpdate> CatalogFollower::ReadNext(Yield yield) {
-  if (!next_) return store_.ReadNewestCatalog(yield);
+absl::Duration CatalogFollower::NextWait() const {
   // The feed announces only versions that are in the store already, so the read need not wait.
-  if (FollowsFeed()) return store_.AwaitCatalog(*next_, absl::ZeroDuration(), yield);
-  return store_.AwaitCatalog(*next_, feed_.FeedsOthers() ? kFeedingCatalogWait : kCatalogWait,
-                             yield);
+  if (FollowsFeed()) return absl::ZeroDuration();
+  // The time at which a waiting read was answered with a change is not known, so another read
+  // confirms the change.
+  if (change_unconfirmed_) return absl::ZeroDuration();
+  return feed_.FeedsOthers() ? kFeedingCatalogWait : kCatalogWait;
+}
+
+ErrorOr<CatalogUpdate> CatalogFollower::ReadNext(Yield yield) {
+  const absl::Time started = clock_.Now();
+  const absl::Duration wait = next_ ? NextWait() : absl::ZeroDuration();
+  auto update = next_ ? store_.AwaitCatalog(*next_, wait, yield) : store_.ReadNewestCatalog(yield);
+  if (!update) return update;
+  const bool changed = update->catalog.has_value();
+  // The store answers after the start of the read; an empty answer is given when the wait is over.
+  // When the answer arrived says nothing: it may have been under way or in the socket for long.
+  const bool waited = !changed && clock_.Now() - started >= wait;
+  origin_ = {update->next.era, waited ? started + wait : started};
+  change_unconfirmed_ = changed && wait > absl::ZeroDuration();
+  return update;
 }
 
 void CatalogFollower::Run(Yield yield) {
@@ -134,7 +149,6 @@
     if (update) {
       retry_delay_.Reset();
       LogStoreContact(true, "");
-      origin_ = {update->next.era, clock_.Now()};
       const bool has_update = update->catalog.has_value();
       const bool has_catalog = has_update || view_.catalog() != nullptr;
       next_ = update->next;
@@ -235,7 +249,8 @@
   const auto update =
       is_full_list ? store_.ListReplicas(yield) : store_.ReadReplicaChanges(*next_, yield);
   if (update) {
-    origin_ = {update->next.era, clock_.Now()};
+    // The answer may have been under way for long.
+    origin_ = {update->next.era, started};
     retry_delay_.Reset();
     if (std::exchange(store_unavailable_, false)) store_returned_at_ = clock_.Now();
     OnEra(update->next.era);
--- /dev/null
+++ b/packages/fleet/tests/followers_test.cc
@@ -0,0 +1,228 @@
+// How old the followers take the data of the store to be.
+#include "marigoldquay/fleet/followers.h"
+
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace marigoldquay {
+namespace {
+
+/// Answers each read as scripted, and moves the clock by the time that it takes.
+class ScriptedStore final : public ClusterStore {
+ public:
+  ScriptedStore(asio::io_context& io, ManualClock& clock) : io_(io), clock_(clock) {}
+
+  StoreEra era() const override { return 1; }
+  ErrorOr<CatalogUpdate> ReadNewestCatalog(Yield yield) override {
+    (void)yield;
+    clock_.Advance(full_read_time);
+    return MakeUpdate(1);
+  }
+  ErrorOr<CatalogUpdate> AwaitCatalog(const StorePosition& from, absl::Duration wait,
+                                      Yield yield) override {
+    (void)from;
+    (void)yield;
+    waits.push_back(wait);
+    return on_await(wait);
+  }
+  ErrorOr<CatalogContents> DecodeCatalog(absl::string_view record) const override {
+    CatalogContents contents;
+    contents.version = static_cast<std::uint64_t>(record.size());
+    return contents;
+  }
+  ErrorOr<ReplicaUpdate> ListReplicas(Yield yield) override {
+    (void)yield;
+    clock_.Advance(full_read_time);
+    // The follower pauses after this read.
+    asio::post(io_, [this] { io_.stop(); });
+    ReplicaUpdate update;
+    update.next = {1, 1};
+    return update;
+  }
+  ErrorOr<ReplicaUpdate> ReadReplicaChanges(const StorePosition& from, Yield yield) override {
+    (void)from;
+    return ListReplicas(yield);
+  }
+  ErrorOrVoid RenewPresence(const std::string& member, absl::Duration ttl, Yield yield) override {
+    (void)member;
+    (void)ttl;
+    (void)yield;
+    return std::monostate();
+  }
+  ErrorOrVoid WithdrawPresence(const std::string& member, Yield yield) override {
+    (void)member;
+    (void)yield;
+    return std::monostate();
+  }
+  ErrorOr<std::uint64_t> AcquireOrderClaim(const std::string& holder, Yield yield) override {
+    (void)holder;
+    (void)yield;
+    return std::uint64_t{1};
+  }
+  ErrorOr<bool> IsLatestOrderClaim(std::uint64_t claim, Yield yield) override {
+    (void)claim;
+    (void)yield;
+    return true;
+  }
+  ErrorOr<KeptQuarantines> ListQuarantines(Yield yield) override {
+    (void)yield;
+    return KeptQuarantines();
+  }
+  ErrorOrVoid KeepQuarantine(const KeptQuarantine& quarantine, Yield yield) override {
+    (void)quarantine;
+    (void)yield;
+    return std::monostate();
+  }
+  ErrorOrVoid DropQuarantine(const std::vector<RequestTrait>& traits, Yield yield) override {
+    (void)traits;
+    (void)yield;
+    return std::monostate();
+  }
+  ErrorOr<std::vector<std::string>> ListMembers(Yield yield) override {
+    (void)yield;
+    return std::vector<std::string>();
+  }
+
+  static CatalogUpdate MakeUpdate(std::uint64_t version) {
+    CatalogUpdate update;
+    update.next = {1, version};
+    update.catalog.emplace().version = version;
+    return update;
+  }
+
+  absl::Duration full_read_time;
+  std::vector<absl::Duration> waits;
+  std::function<ErrorOr<CatalogUpdate>(absl::Duration wait)> on_await;
+
+ private:
+  asio::io_context& io_;
+  ManualClock& clock_;
+};
+
+struct Feed final : FeedMonitor {
+  bool FeedIsFresh() const override { return false; }
+  bool FeedsOthers() const override { return feeds_others; }
+  void RequestFullServerList() override {}
+
+  bool feeds_others = false;
+};
+
+struct Fixture {
+  /// Runs the follower until `answers` waiting reads were answered by `answer`.
+  void Follow(std::vector<std::function<CatalogUpdate(absl::Duration wait)>> answers) {
+    std::size_t next = 0;
+    store.on_await = [&, answers](absl::Duration wait) -> ErrorOr<CatalogUpdate> {
+      if (next < answers.size()) return answers[next++](wait);
+      // The follower pauses after an error.
+      io.stop();
+      return Error{ErrorCode::kTimeout, "read", "store", "no answer"};
+    };
+    SpawnFiber(io, "follow", [this](Yield yield) { follower.Run(yield); });
+    io.run();
+  }
+
+  asio::io_context io;
+  ManualClock clock;
+  ScriptedStore store{io, clock};
+  ClusterView view;
+  Feed feed;
+  CatalogFollower follower{io, clock, store, view, feed, [] {}};
+  const absl::Time started = clock.Now();
+};
+
+CatalogUpdate Nothing() {
+  CatalogUpdate update;
+  update.next = {1, 1};
+  return update;
+}
+
+BOOST_FIXTURE_TEST_SUITE(followers, Fixture)
+
+// Guards against data that a slow link or a starved process delivers late and that counts as new;
+// all VMs that are fed from here then take what they know for fresh.
+BOOST_AUTO_TEST_CASE(configuration_is_as_old_as_the_start_of_its_read) {
+  store.full_read_time = absl::Milliseconds(700);
+  Follow({});
+  BOOST_TEST((follower.origin().read_at == started));
+  BOOST_TEST((follower.confirmed_at() == started));
+}
+
+BOOST_AUTO_TEST_CASE(change_is_as_old_as_the_start_of_the_waiting_read) {
+  Follow({[&](absl::Duration wait) {
+    clock.Advance(wait / 2);
+    return ScriptedStore::MakeUpdate(2);
+  }});
+  BOOST_TEST(view.catalog()->version() == 2U);
+  BOOST_TEST((follower.origin().read_at == started));
+}
+
+// An empty answer is given when the wait is over, however late it arrives.
+BOOST_AUTO_TEST_CASE(empty_answer_is_as_old_as_the_end_of_the_wait) {
+  absl::Time answered;
+  Follow({[&](absl::Duration wait) {
+    answered = clock.Now() + wait;
+    clock.Advance(wait + absl::Milliseconds(1500));
+    return Nothing();
+  }});
+  BOOST_TEST((follower.origin().read_at == answered));
+}
+
+// An answer that comes early says nothing of the rest of the wait.
+BOOST_AUTO_TEST_CASE(early_empty_answer_is_as_old_as_the_start_of_its_read) {
+  Follow({[&](absl::Duration wait) {
+    clock.Advance(wait / 2);
+    return Nothing();
+  }});
+  BOOST_TEST((follower.origin().read_at == started));
+}
+
+// Changes at short intervals must not make the data of a VM that feeds others look old.
+BOOST_AUTO_TEST_CASE(change_is_confirmed_without_a_wait) {
+  feed.feeds_others = true;
+  Follow({[&](absl::Duration wait) {
+            clock.Advance(wait);
+            return ScriptedStore::MakeUpdate(2);
+          },
+          [&](absl::Duration wait) {
+            clock.Advance(wait);
+            return Nothing();
+          }});
+  BOOST_TEST_REQUIRE(store.waits.size() == 3U);
+  BOOST_TEST((store.waits[1] == absl::ZeroDuration()));
+  BOOST_TEST((follower.origin().read_at == started + store.waits[0]));
+}
+
+BOOST_AUTO_TEST_CASE(list_of_servers_is_as_old_as_the_start_of_its_read) {
+  store.full_read_time = absl::Milliseconds(700);
+  ReplicaFollower replicas(io, clock, store, view, feed, [] {});
+  SpawnFiber(io, "follow", [&](Yield yield) { replicas.Run(yield); });
+  io.run();
+  BOOST_TEST((replicas.origin().read_at == started));
+}
+
+BOOST_AUTO_TEST_CASE(announced_version_is_confirmed_once_it_is_known) {
+  const DataOrigin origin{1, started};
+  follower.OnVersionAnnounced(3, "", origin);
+  BOOST_TEST((follower.confirmed_at() == absl::InfinitePast()));
+  follower.OnVersionAnnounced(3, "abc", origin);
+  BOOST_TEST((follower.confirmed_at() == started));
+  // What an earlier state says does not make the configuration older.
+  follower.OnVersionAnnounced(3, "", {1, started - absl::Seconds(1)});
+  BOOST_TEST((follower.confirmed_at() == started));
+}
+
+// A read that lacks the announced version does not confirm the one before.
+BOOST_AUTO_TEST_CASE(stale_read_confirms_nothing) {
+  follower.OnVersionAnnounced(3, "", {1, started});
+  Follow({});
+  BOOST_TEST(view.catalog()->version() == 1U);
+  BOOST_TEST((follower.confirmed_at() == absl::InfinitePast()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace marigoldquay
