Do not take a configuration for the newest while a later one is announced

Found by reading, a possible cause of what the users saw, not traced: not seen at callers; found while reading for CONFIG in large deployments.

Cause: a configuration over 16 MB / VMs (60 KB at 270 VMs) is announced by its version only, and each VM reads it from the store. A VM that is not done with that when it becomes the coordinator sent its older version with the origin of the data that had announced the later one, so VMs that had not heard of it took the older one for the newest.

Change: states confirm a version only if no later one was announced, and a coordinator passes on the origin of forwarded data only as far as they confirm its own configuration.

Evidence: fleet_tests/followers/version_is_not_confirmed_while_a_later_one_is_announced failed before: "follower.confirmed_at() == started has failed". The origin that the daemon's coordinator passes on has no test of its own.

--- a/apps/marigoldquayd/platform_node.cc
+++ b/apps/marigoldquayd/platform_node.cc
@@ -187,7 +187,7 @@
             io_, clock_, store_, self_, [this] { return NeedsMembers(); },
             [this] { return link_.ShouldAnnounce(); }, [this] { OnMemberList(); }),
         coordinator_(io_, clock_, view_, presence_, self_,
-                     {[this] { return std::max(OwnOrigin(), link_.feed_origin()); },
+                     {[this] { return std::max(OwnOrigin(), ForwardedOrigin()); },
                       [this] { return link_.confirmed_coordinator(); },
                       [this](const BackendServerId& id) { OnLeavingServer(id); },
                       [this](const StatedRequestLimit& stated) { OnRequestLimit(stated); },
@@ -291,6 +291,12 @@
     return std::min(catalog_follower_.origin(), replica_follower_.origin());
   }
 
+  // When another VM read what this VM holds. A version that was announced and is not here yet does
+  // not make the present configuration newer.
+  DataOrigin ForwardedOrigin() const {
+    return std::min(link_.feed_origin(), catalog_follower_.confirmed());
+  }
+
   // Engines change only on the word of a VM that coordinates and sees the present list.
   bool MayOrder() const {
     return !draining_ && link_.FeedsOthers() && presence_.settled() &&
--- a/packages/fleet/include/marigoldquay/fleet/followers.h
+++ b/packages/fleet/include/marigoldquay/fleet/followers.h
@@ -51,6 +51,8 @@
   /// store.
   void OnVersionAnnounced(std::uint64_t version, const std::string& record,
                           const DataOrigin& origin);
+  /// Origin of the last data that showed the configuration of this VM to be the newest one.
+  const DataOrigin& confirmed() const { return confirmed_; }
   /// When the configuration of this VM was last known to be the newest one; InfinitePast before.
   absl::Time confirmed_at() const { return confirmed_.read_at; }
   /// The last read of the store by this VM, with the latest time at which the store has certainly
--- a/packages/fleet/src/followers.cc
+++ b/packages/fleet/src/followers.cc
@@ -103,12 +103,13 @@
       LogSkipped("configuration_skipped", contents.error().ToString());
     }
   }
-  if (view_.catalog() && view_.catalog()->version() >= version) {
+  const bool is_later = version > announced_version_;
+  announced_version_ = std::max(announced_version_, version);
+  // A new coordinator may have an older version than the one before it.
+  if (view_.catalog() && view_.catalog()->version() >= announced_version_) {
     confirmed_ = std::max(confirmed_, origin);
   }
-  if (version <= announced_version_) return;
-  announced_version_ = version;
-  wake_timer_.cancel();
+  if (is_later) wake_timer_.cancel();
 }
 
 absl::Duration CatalogFollower::CurrentMaxRetryPause() const {
--- a/packages/fleet/tests/followers_test.cc
+++ b/packages/fleet/tests/followers_test.cc
@@ -243,6 +243,17 @@
   BOOST_TEST((follower.confirmed_at() == started));
 }
 
+// Guards against a coordinator that has an older version than the one before it, and calls that
+// the newest one.
+BOOST_AUTO_TEST_CASE(version_is_not_confirmed_while_a_later_one_is_announced) {
+  follower.OnVersionAnnounced(3, "abc", {1, started});
+  follower.OnVersionAnnounced(5, "", {1, started + absl::Seconds(1)});
+  follower.OnVersionAnnounced(3, "", {1, started + absl::Seconds(2)});
+  BOOST_TEST((follower.confirmed_at() == started));
+  follower.OnVersionAnnounced(5, "abcde", {1, started + absl::Seconds(2)});
+  BOOST_TEST((follower.confirmed_at() == started + absl::Seconds(2)));
+}
+
 // A read that lacks the announced version does not confirm the one before.
 BOOST_AUTO_TEST_CASE(stale_read_confirms_nothing) {
   follower.OnVersionAnnounced(3, "", {1, started});
