--- a/packages/fleet/tests/followers_test.cc
+++ b/packages/fleet/tests/followers_test.cc
@@ -116,7 +116,7 @@
 
 struct Fixture {
   /// Runs the follower until `answers` waiting reads were answered by `answer`.
-  void Follow(std::vector<std::function<CatalogUpdate(absl::Duration wait)>> answers) {
+  void Follow(const std::vector<std::function<CatalogUpdate(absl::Duration wait)>>& answers) {
     std::size_t next = 0;
     store.on_await = [&, answers](absl::Duration wait) -> ErrorOr<CatalogUpdate> {
       if (next < answers.size()) return answers[next++](wait);
