Make a property that does not hold fail its test

What was seen: a falsified property printed a counterexample, and its test passed ("Test case ... did not check any assertions"; every_window_stays_within_the_limits on the earlier window printed "38 <= 37.8").

Cause: rc::check returns whether the property holds, and all eight calls dropped it.

Change: the result is checked. That it fails then was seen with any_faults_stay_within_one_budget ("check rc::check(...) has failed"). All eight hold on this code: dispatch_tests, fleet_tests and relay_tests pass.

--- a/packages/dispatch/tests/quota_ledger_test.cc
+++ b/packages/dispatch/tests/quota_ledger_test.cc
@@ -130,7 +130,7 @@
 
 // Guards against exceeding the rate while two coordinators are active: their shares add up to 1.
 BOOST_AUTO_TEST_CASE(shares_of_two_ledgers_stay_within_the_rate) {
-  rc::check("admitted tokens in every window stay within rate x window + burst", [] {
+  BOOST_TEST(rc::check("admitted tokens in every window stay within rate x window + burst", [] {
     const auto workspace = MakeWorkspace(1000, 500);
     const double part = 0.1 * static_cast<double>(*rc::gen::inRange(0, 11));
     QuotaLedger first(part);
@@ -156,7 +156,7 @@
         RC_ASSERT(static_cast<double>(sum) <= 1000 * window + 500 + 2 * 60);
       }
     }
-  });
+  }));
 }
 
 BOOST_AUTO_TEST_CASE(charge_may_make_the_level_negative) {
--- a/packages/dispatch/tests/request_limit_test.cc
+++ b/packages/dispatch/tests/request_limit_test.cc
@@ -73,7 +73,7 @@
 // Guards against a server that gets more than its limit when the coordinator is lost again and
 // again, also when the limit is below the number of VMs, so that no VM has a whole request.
 BOOST_AUTO_TEST_CASE(limit_holds_with_and_without_a_coordinator) {
-  rc::check("requests in every window of 4 s stay within 1.5 x limit x 4 s + 5", [] {
+  BOOST_TEST(rc::check("requests in every window of 4 s stay within 1.5 x limit x 4 s + 5", [] {
     const std::size_t vms = *rc::gen::element<std::size_t>(3, 9, 69, 295);
     const double limit = 0.1 * *rc::gen::inRange(0, 120);
     const double demand_per_step = 0.2 * *rc::gen::inRange(1, 20);
@@ -100,7 +100,7 @@
       RC_ASSERT(static_cast<double>(sent.size()) <=
                 1.5 * limit * absl::ToDoubleSeconds(kWindow) + 5);
     }
-  });
+  }));
 }
 
 // Guards against a limited server that gets much less than it accepts while callers wait.
--- a/packages/dispatch/tests/request_quarantine_test.cc
+++ b/packages/dispatch/tests/request_quarantine_test.cc
@@ -196,7 +196,7 @@
 // Guards against deadly requests that are spread over many VMs, with a coordinator that is lost
 // again and again: its successor knows only what the VMs remember.
 BOOST_AUTO_TEST_CASE(holds_over_many_vms_that_lose_the_coordinator) {
-  rc::check("at most five crashes before the part is refused everywhere", [] {
+  BOOST_TEST(rc::check("at most five crashes before the part is refused everywhere", [] {
     const int vm_count = *rc::gen::element(3, 12, 295);
     std::vector<RequestQuarantine> vms(static_cast<std::size_t>(vm_count));
     std::vector<ServerCrash> remembered;
@@ -232,7 +232,7 @@
       }
     }
     RC_ASSERT(crashes <= 5);
-  });
+  }));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/dispatch/tests/retry_budget_window_test.cc
+++ b/packages/dispatch/tests/retry_budget_window_test.cc
@@ -43,31 +43,33 @@
 
 // Guards against a retry storm across the boundary between two windows.
 BOOST_AUTO_TEST_CASE(every_window_stays_within_the_limits) {
-  rc::check("retries in a window <= ratio x requests in it and the one before + burst", [] {
-    WindowedRetryBudget budget({0.2, 3, absl::Seconds(10)});
-    std::vector<absl::Time> first_attempts;
-    std::vector<absl::Time> retries;
-    absl::Time now = kStart;
-    for (int i = 0; i < 400; ++i) {
-      now += absl::Milliseconds(*rc::gen::inRange(0, 200));
-      if (*rc::gen::arbitrary<bool>()) {
-        budget.OnFirstAttempt(now);
-        first_attempts.push_back(now);
-      } else if (budget.TryAcquire(now)) {
-        retries.push_back(now);
-      }
-    }
-    const auto count = [](const std::vector<absl::Time>& times, absl::Time from, absl::Time to) {
-      int n = 0;
-      for (const auto& time : times) n += time > from && time <= to ? 1 : 0;
-      return n;
-    };
-    for (const auto& end : retries) {
-      const int in_window = count(retries, end - absl::Seconds(10), end);
-      const int requests = count(first_attempts, end - absl::Seconds(10), end);
-      RC_ASSERT(in_window <= 0.2 * requests + 3);
-    }
-  });
+  BOOST_TEST(
+      rc::check("retries in a window <= ratio x requests in it and the one before + burst", [] {
+        WindowedRetryBudget budget({0.2, 3, absl::Seconds(10)});
+        std::vector<absl::Time> first_attempts;
+        std::vector<absl::Time> retries;
+        absl::Time now = kStart;
+        for (int i = 0; i < 400; ++i) {
+          now += absl::Milliseconds(*rc::gen::inRange(0, 200));
+          if (*rc::gen::arbitrary<bool>()) {
+            budget.OnFirstAttempt(now);
+            first_attempts.push_back(now);
+          } else if (budget.TryAcquire(now)) {
+            retries.push_back(now);
+          }
+        }
+        const auto count = [](const std::vector<absl::Time>& times, absl::Time from,
+                              absl::Time to) {
+          int n = 0;
+          for (const auto& time : times) n += time > from && time <= to ? 1 : 0;
+          return n;
+        };
+        for (const auto& end : retries) {
+          const int in_window = count(retries, end - absl::Seconds(10), end);
+          const int requests = count(first_attempts, end - absl::Seconds(10), end);
+          RC_ASSERT(in_window <= 0.2 * requests + 3);
+        }
+      }));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/dispatch/tests/role_planner_test.cc
+++ b/packages/dispatch/tests/role_planner_test.cc
@@ -82,7 +82,7 @@
 
 // No load changes the last engine of a role.
 BOOST_AUTO_TEST_CASE(each_role_keeps_an_engine) {
-  rc::check("each role keeps at least one engine", [] {
+  BOOST_TEST(rc::check("each role keeps at least one engine", [] {
     RolePlanner planner;
     int prefill = *rc::gen::inRange(1, 12);
     int decode = *rc::gen::inRange(1, 12);
@@ -98,7 +98,7 @@
       RC_ASSERT(prefill >= 1);
       RC_ASSERT(decode >= 1);
     }
-  });
+  }));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/dispatch/tests/stream_scheduler_test.cc
+++ b/packages/dispatch/tests/stream_scheduler_test.cc
@@ -208,7 +208,7 @@
 
 // The reservations of an engine never exceed its memory, for any order of events.
 BOOST_AUTO_TEST_CASE(reservations_stay_within_the_memory) {
-  rc::check("reserved tokens of an engine stay within its memory", [&] {
+  BOOST_TEST(rc::check("reserved tokens of an engine stay within its memory", [&] {
     StreamScheduler tested_scheduler;
     tested_scheduler.SetEngines({16, kCapacity}, engines);
     std::set<std::uint64_t> open;
@@ -233,7 +233,7 @@
     }
     for (const auto ticket : open) tested_scheduler.OnEnd(ticket, StreamEnd::kDone, now);
     for (const char* id : {"d1", "d2"}) RC_ASSERT(tested_scheduler.reserved_tokens(id) == 0);
-  });
+  }));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/fleet/tests/peer_clock_test.cc
+++ b/packages/fleet/tests/peer_clock_test.cc
@@ -43,7 +43,7 @@
 
 // Guards against a bound that is later than the time at which a message was sent.
 BOOST_AUTO_TEST_CASE(bound_is_never_later_than_the_sending) {
-  rc::check("bound is never later than the sending", [] {
+  BOOST_TEST(rc::check("bound is never later than the sending", [] {
     PeerClock clock;
     const auto skew = absl::Milliseconds(*rc::gen::inRange(-100'000, 100'000));
     const int steps = *rc::gen::inRange(1, 20);
@@ -59,7 +59,7 @@
       RC_ASSERT(answered.OnMessage(sent + skew, arrived) <= sent);
       now = arrived;
     }
-  });
+  }));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/relay/tests/event_splitter_test.cc
+++ b/packages/relay/tests/event_splitter_test.cc
@@ -28,7 +28,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(output_is_independent_of_chunk_sizes) {
-  rc::check("bytes are unchanged for any chunk sizes", [] {
+  BOOST_TEST(rc::check("bytes are unchanged for any chunk sizes", [] {
     std::string stream;
     const int events = *rc::gen::inRange(1, 10);
     for (int i = 1; i <= events; ++i) {
@@ -43,7 +43,7 @@
     }
     RC_ASSERT(output == stream);
     RC_ASSERT(splitter.last_id().value_or(0) == static_cast<std::uint64_t>(events));
-  });
+  }));
 }
 
 // Guards against an event boundary that is missed since its line endings came in two parts.
