Ask the coordinator for tokens until it has sent the first levels

What was at stake: 270 VMs that start together stay within each quota.

Cause: between the begin of its first session and the first state, a VM admitted tokens from half of the burst and an assumed number of ten VMs.

Evidence: nothing_is_admitted_before_the_first_level on the earlier code: 270 VMs admit 13,500 tokens of a burst of 1,000.

Change: before the first state, each request asks the coordinator, which has one ledger for all.

--- a/packages/dispatch/include/marigoldquay/dispatch/quota_balances.h
+++ b/packages/dispatch/include/marigoldquay/dispatch/quota_balances.h
@@ -28,7 +28,8 @@
   const AccountLevels& levels() const { return levels_; }
 
   /// Admits the tokens when the part of this VM in the last known level covers them, so that all
-  /// `members` together admit no more than the level.
+  /// `members` together admit no more than the level. Never before the first update, when neither
+  /// the levels nor the number of members are known.
   bool TryAdmit(const AccountQuota& quota, TokenCount tokens, std::size_t members);
   /// Adds tokens that were admitted by other means and have to be reported.
   void AddUnreported(const QuotaAccount& account, TokenCount tokens);
@@ -42,6 +43,7 @@
   absl::Duration RefusalTimeLeft(const QuotaAccount& account, absl::Time now) const;
 
  private:
+  bool updated_ = false;
   AccountLevels levels_;
   // Tokens admitted that are not in levels_ yet.
   AccountLevels admitted_since_update_;
--- a/packages/dispatch/src/quota_balances.cc
+++ b/packages/dispatch/src/quota_balances.cc
@@ -13,6 +13,7 @@
 }  // namespace
 
 void QuotaBalances::Update(AccountLevels levels, absl::Time now) {
+  updated_ = true;
   levels_ = std::move(levels);
   // The coordinator does not know of these tokens yet.
   admitted_since_update_ = unreported_;
@@ -20,6 +21,7 @@
 }
 
 bool QuotaBalances::TryAdmit(const AccountQuota& quota, TokenCount tokens, std::size_t members) {
+  if (!updated_) return false;
   const auto found = levels_.find(quota.account);
   const TokenCount level = found != levels_.end() ? found->second : quota.burst / 2;
   const TokenCount part =
--- a/packages/dispatch/tests/quota_balances_test.cc
+++ b/packages/dispatch/tests/quota_balances_test.cc
@@ -22,11 +22,24 @@
   BOOST_TEST(!balances.TryAdmit(kQuota, 1, 3));
 }
 
+// Guards against 270 VMs that start together and each take a tenth of half a burst, as a VM assumes
+// ten VMs until it hears their number.
+BOOST_AUTO_TEST_CASE(nothing_is_admitted_before_the_first_level) {
+  constexpr std::size_t kAssumedMembers = 10;
+  TokenCount admitted = 0;
+  for (int vm = 0; vm < 270; ++vm) {
+    QuotaBalances balances;
+    while (balances.TryAdmit(kQuota, 1, kAssumedMembers)) ++admitted;
+  }
+  BOOST_TEST(admitted <= kQuota.burst);
+}
+
 // An omitted level is at least half of the burst.
 BOOST_AUTO_TEST_CASE(omitted_level_is_half_of_the_burst) {
   QuotaBalances balances;
   BOOST_TEST(QuotaBalances::IsOmitted(kQuota, 500));
   BOOST_TEST(!QuotaBalances::IsOmitted(kQuota, 499));
+  balances.Update({}, kStart);
   BOOST_TEST(!balances.TryAdmit(kQuota, 251, 2));
   BOOST_TEST(balances.TryAdmit(kQuota, 250, 2));
 }
