Count all VMs of the fleet while a new coordinator takes over

What was at stake: a fleet that loses its coordinator stays within quotas and budgets while its VMs find the next one.

Cause: a coordinator whose list of VMs was read long ago counted only the eight VMs that stay in the store's list and those that had reported so far, though each VM that reports says how many there are. The first states of a takeover named a small number, and each VM took that part of levels and budgets.

For 5 s after its first session a coordinator counts at least as many VMs as any of them was told; later it forgets that number, as VMs that are still missing are not in the store's list either.

--- a/packages/fleet/include/marigoldquay/fleet/coordinator.h
+++ b/packages/fleet/include/marigoldquay/fleet/coordinator.h
@@ -19,6 +19,7 @@
 #include "marigoldquay/fleet/cluster_store.h"
 #include "marigoldquay/fleet/frame_connection.h"
 #include "marigoldquay/fleet/member.h"
+#include "marigoldquay/fleet/member_counter.h"
 #include "marigoldquay/fleet/member_table.h"
 #include "marigoldquay/routing/cluster_view.h"
 
@@ -96,8 +97,6 @@
     FrameConnectionPtr connection;
     FleetMember member;
     bool reported = false;
-    // Number of VMs that the peer knew of when the session began; 0 when unknown.
-    std::size_t known_members = 0;
     // When the store last answered this VM.
     DataOrigin store_contact;
     // Version of the configuration that is in force there.
@@ -197,9 +196,7 @@
   QuotaLedger quota_{0};
   RequestQuarantine quarantine_;
   MemberTable reporting_members_;
-  // VMs whose session has ended, with the time until which they still count for the quota shares,
-  // as they may admit requests on their own until then.
-  std::map<std::string, absl::Time> departed_;
+  MemberCounter member_counter_;
   // Latest version that a VM was asked for.
   std::uint64_t asked_catalog_version_ = 0;
   bool advancing_queue_ = false;
--- a/packages/fleet/src/coordinator.cc
+++ b/packages/fleet/src/coordinator.cc
@@ -24,8 +24,6 @@
 // With a smaller quota share, refusals are provisional: VMs that do not report here yet still hold
 // part of the rates.
 constexpr double kMinFullShare = 0.9;
-// Lifetime of an entry in the store's list of VMs.
-constexpr absl::Duration kDepartedRetention = absl::Seconds(5);
 
 const Logger& Log() {
   static const Logger logger("sched");
@@ -141,7 +139,7 @@
   });
   if (has_other) return;
   reporting_members_.Remove(vm);
-  departed_[vm] = clock_.Now() + kDepartedRetention;
+  member_counter_.OnSessionEnded(vm, clock_.Now());
 }
 
 void Coordinator::OnFrame(Session& session, const Frame& frame) {
@@ -188,15 +186,14 @@
   }
   session.reported = true;
   session.sent_catalog_version = report.catalog_version;
-  departed_.erase(session.member.instance.vm);
+  member_counter_.OnSessionStarted(session.member.instance.vm, report.member_count, clock_.Now());
   TriggerStateBroadcast();
-  session.known_members = report.member_count;
   UpdateQuotaShare();
   LogFields fields;
   fields.Add("vm", session.member.instance.ToString())
       .Add("sessions", static_cast<std::int64_t>(sessions_.size()))
       .Add("members", static_cast<std::int64_t>(MemberCount()))
-      .Add("known_members", static_cast<std::int64_t>(session.known_members))
+      .Add("known_members", static_cast<std::int64_t>(report.member_count))
       .Add("levels", static_cast<std::int64_t>(report.levels.size()));
   Log().Event("vm_session_started", fields);
 }
--- a/packages/fleet/src/coordinator_state.cc
+++ b/packages/fleet/src/coordinator_state.cc
@@ -4,7 +4,6 @@
 #include <tuple>
 #include <utility>
 
-#include "absl/container/flat_hash_set.h"
 #include "marigoldquay/dispatch/quota_balances.h"
 #include "marigoldquay/fleet/coordinator.h"
 #include "marigoldquay/fleet/peer_clock.h"
@@ -52,18 +51,7 @@
 }
 
 std::size_t Coordinator::KnownMemberCount() const {
-  absl::flat_hash_set<std::string> vms;
-  for (const auto& member : source_.listed_members()) vms.insert(member.instance.vm);
-  for (const auto& [vm, until] : departed_) vms.insert(vm);
-  for (const auto& session : sessions_) {
-    if (session->reported) vms.insert(session->member.instance.vm);
-  }
-  const std::size_t seen = std::max<std::size_t>(vms.size(), 1);
-  if (source_.settled()) return seen;
-  std::size_t known = 0;
-  for (const auto& session : sessions_) known = std::max(known, session->known_members);
-  if (known == 0 && seen < kAssumedMemberCount) return 0;
-  return std::max(seen, known);
+  return member_counter_.Count(source_.listed_members(), source_.settled(), clock_.Now());
 }
 
 std::optional<FleetMember> Coordinator::Successor() const {
@@ -237,8 +225,6 @@
     boost::system::error_code woken;  // Set when TriggerStateBroadcast cancels the wait.
     state_timer_.async_wait(yield[woken]);
     if (woken) SleepFor(io_, kBatchDelay, yield);
-    const absl::Time now = clock_.Now();
-    std::erase_if(departed_, [now](const auto& entry) { return entry.second < now; });
     if (!sessions_.empty()) BroadcastState();
   }
 }
