--- a/apps/marigoldquayd/main.cc
+++ b/apps/marigoldquayd/main.cc
@@ -1,4 +1,4 @@
-// Entry point of the daemon that runs on every entry VM; apps/starter/main.cc loads and calls it.
+// Entry point of the daemon that runs on every entry VM.
 #include <gflags/gflags.h>
 
 #include <csignal>
@@ -82,8 +82,7 @@
 }  // namespace
 }  // namespace marigoldquay
 
-/// Entry point that the program calls, with stop and reload signals blocked.
-extern "C" [[gnu::visibility("default")]] int marigoldquay_daemon_main(int argc, char** argv) {
+int main(int argc, char** argv) {
   // A reload that arrives before its handler is installed must not end the process.
   std::signal(SIGHUP, SIG_IGN);
   return marigoldquay::Main(argc, argv);
--- a/apps/marigoldquayd/platform_node.cc
+++ b/apps/marigoldquayd/platform_node.cc
@@ -227,7 +227,6 @@
         metrics_listener_(io_, metrics_, kOtherListenerConnections, memory_) {}
 
   int Run() {
-    UnblockSignals();
     ApplyBounds();
     SpawnFiber(io_, "signals", [this](Yield yield) { AwaitSignals(yield); });
     SpawnFiber(io_, "start", [this](Yield yield) { Start(yield); });
@@ -245,14 +244,6 @@
     bool operator==(const LoggedShare&) const = default;
   };
 
-  // Signals that arrived before the handlers were installed are handled now.
-  static void UnblockSignals() {
-    sigset_t signals;
-    sigemptyset(&signals);
-    for (const int signal : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&signals, signal);
-    pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
-  }
-
   void Start(Yield yield) {
     if (!StartListeners(yield)) {
       FlushLogging();
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -40,8 +40,8 @@
   void Terminate() const;
   /// SIGHUP.
   void Reload() const;
-  /// Whether SIGHUP no longer ends the process: it is blocked, ignored or handled. No program can
-  /// see to that before its main function runs.
+  /// Whether SIGHUP no longer ends the process. No program can see to that before its main function
+  /// runs.
   bool handles_reload() const;
   /// Exit status (128 + N after signal N); nullopt when it still runs after `timeout`.
   std::optional<int> Wait(absl::Duration timeout);
