--- a/packages/dispatch/tests/stream_scheduler_test.cc
+++ b/packages/dispatch/tests/stream_scheduler_test.cc
@@ -232,7 +232,9 @@
       }
     }
     for (const auto ticket : open) tested_scheduler.OnEnd(ticket, StreamEnd::kDone, now);
-    for (const char* id : {"d1", "d2"}) RC_ASSERT(tested_scheduler.reserved_tokens(id) == 0);
+    for (const char* id : {"d1", "d2"}) {
+      RC_ASSERT(tested_scheduler.reserved_tokens(id) == 0);
+    }
   }));
 }
 
