Count the retries that are sent and refused, by service

Who spent what of a retry budget could not be told from metrics. The counter marigoldquay_relay_retries_total has the outcomes sent and refused; the housekeeping brings it up to date each second.

--- a/apps/marigoldquayd/platform_node.cc
+++ b/apps/marigoldquayd/platform_node.cc
@@ -471,6 +471,7 @@
       connections_.CloseIdle();
       store_connections_.CloseIdle();
       ApplyBounds();
+      budgets_.UpdateMetrics();
       const std::int64_t change = SettingsChange();
       if (change != known_change) ReloadSettings("the file has changed");
       known_change = change;
--- a/packages/dispatch/include/marigoldquay/dispatch/retry_budget_window.h
+++ b/packages/dispatch/include/marigoldquay/dispatch/retry_budget_window.h
@@ -36,6 +36,12 @@
   bool TryAcquire(absl::Time now);
   /// Counts a retry that is sent regardless of the budget.
   void OnRetry(absl::Time now);
+  /// Counts a request that ends because the budget allows no retry.
+  void OnRefusal() { ++refused_; }
+
+  /// Retries sent and requests refused since the start.
+  std::int64_t sent() const { return sent_; }
+  std::int64_t refused() const { return refused_; }
 
  private:
   static constexpr std::size_t kSlots = 20;
@@ -49,6 +55,8 @@
   Slot& CurrentSlot(absl::Time now);
 
   RetryBudgetLimits limits_;
+  std::int64_t sent_ = 0;
+  std::int64_t refused_ = 0;
   // Ring buffer indexed by slot number modulo its size; a slot with an expired number is empty. One
   // slot more than the window has: of the slot in which the window begins, retries count and first
   // attempts do not.
--- a/packages/dispatch/src/retry_budget_window.cc
+++ b/packages/dispatch/src/retry_budget_window.cc
@@ -17,7 +17,10 @@
 
 void WindowedRetryBudget::OnFirstAttempt(absl::Time now) { ++CurrentSlot(now).first_attempts; }
 
-void WindowedRetryBudget::OnRetry(absl::Time now) { ++CurrentSlot(now).retries; }
+void WindowedRetryBudget::OnRetry(absl::Time now) {
+  ++CurrentSlot(now).retries;
+  ++sent_;
+}
 
 bool WindowedRetryBudget::CanRetry(absl::Time now) const {
   // The current slot is not over yet, so the window begins inside the oldest one.
--- a/packages/relay/include/marigoldquay/relay/front_handler.h
+++ b/packages/relay/include/marigoldquay/relay/front_handler.h
@@ -32,6 +32,8 @@
   void SetLimits(RetryBudgetLimits limits);
   /// Returns the budget of the service, which is created on first use.
   WindowedRetryBudget& ForService(absl::string_view service);
+  /// Brings the counters of retries up to date.
+  void UpdateMetrics() const;
 
  private:
   RetryBudgetLimits limits_;
--- a/packages/relay/src/front_handler.cc
+++ b/packages/relay/src/front_handler.cc
@@ -160,6 +160,20 @@
   return budgets_.emplace(std::string(service), WindowedRetryBudget(limits_)).first->second;
 }
 
+void RetryBudgets::UpdateMetrics() const {
+  const auto update = [](const std::string& service, const char* outcome, std::int64_t total) {
+    auto& counter = MetricsRegistry::Global().counter(
+        "marigoldquay_relay_retries_total",
+        "Retries sent, and requests that ended because the budget allowed no retry.",
+        {{"service", service}, {"outcome", outcome}});
+    counter.Increment(total - counter.value());
+  };
+  for (const auto& [service, budget] : budgets_) {
+    update(service, "sent", budget.sent());
+    update(service, "refused", budget.refused());
+  }
+}
+
 void FrontHandler::Handle(HttpRequest& request, HttpReplyWriter& reply, Cancellation& cancellation,
                           Yield yield) {
   RequestState state{context_, request, reply, cancellation};
--- a/packages/relay/src/model_relay.cc
+++ b/packages/relay/src/model_relay.cc
@@ -141,6 +141,7 @@
   }
 
   void RejectByBudget(Yield yield) {
+    budget_.OnRefusal();
     Reject(
         {false, kRefusedRetryAfter, absl::StrCat("retry budget exhausted after: ", last_detail_)},
         yield);
--- a/packages/relay/src/plain_relay.cc
+++ b/packages/relay/src/plain_relay.cc
@@ -41,6 +41,7 @@
       if (state_.cancellation.cancelled()) return HandleCancellation(state_, yield);
       if (!replica) break;
       if (state_.send_count > 0 && !budget_.TryAcquire(state_.Now())) {
+        budget_.OnRefusal();
         last_detail_ = absl::StrCat("retry budget exhausted after: ", last_detail_);
         break;
       }
