Count all VMs also when a VM that coordinated itself takes over

What was at stake: quotas of a fleet whose VMs come back to a VM that was cut off and coordinated itself alone, found in review.

Cause: the time of a takeover began only when no VM reported here, but such a VM reports to itself. It told the VMs that came one after the other 1/9, 1/10 and so on of each level.

Change: the time begins whenever a VM was told of more VMs than are counted here, and so ends 5 s after the last such VM, which takeover_counts_the_vms_that_have_not_reported_yet now expects. Counting copies no set any more.

--- a/packages/fleet/include/marigoldquay/fleet/member_counter.h
+++ b/packages/fleet/include/marigoldquay/fleet/member_counter.h
@@ -27,15 +27,15 @@
   /// The last session of the VM has ended.
   void OnSessionEnded(const VmId& vm, absl::Time now);
 
-  /// The number of VMs, `listed` in the store or reporting; 0 while VMs may have started that are
+  /// The number of VMs, `listed` in the store, each once, or reporting; 0 while VMs may have started that are
   /// not in the list yet, which is not `settled` then.
   std::size_t Count(const std::vector<FleetMember>& listed, bool settled, absl::Time now) const;
 
  private:
   std::set<VmId> reporting_;
-  // VMs whose session has ended, with the time until which they count.
+  // VMs whose session has ended, with the time until which they count; none of them reports.
   std::map<VmId, absl::Time> departed_;
-  // Highest number that a VM was told by another coordinator, since this one coordinates.
+  // Highest number that a VM was told by another coordinator, since this one took over.
   std::size_t known_ = 0;
   // Until then VMs that were told of others may not have found this coordinator yet.
   absl::Time takeover_until_ = absl::InfinitePast();
--- a/packages/fleet/src/member_counter.cc
+++ b/packages/fleet/src/member_counter.cc
@@ -6,8 +6,10 @@
 namespace marigoldquay {
 
 void MemberCounter::OnSessionStarted(const VmId& vm, std::size_t known_members, absl::Time now) {
-  if (reporting_.empty()) {
-    known_ = 0;
+  // A VM that was told of more VMs than are counted here comes from another coordinator, and so may
+  // the rest of them.
+  if (reporting_.empty() || known_members > reporting_.size() + departed_.size()) {
+    if (reporting_.empty() || now >= takeover_until_) known_ = 0;
     takeover_until_ = now + kRetention;
   }
   known_ = std::max(known_, known_members);
@@ -23,12 +25,17 @@
 
 std::size_t MemberCounter::Count(const std::vector<FleetMember>& listed, bool settled,
                                  absl::Time now) const {
-  std::set<VmId> vms = reporting_;
-  for (const FleetMember& member : listed) vms.insert(member.instance.vm);
-  for (const auto& [vm, until] : departed_) {
-    if (now <= until) vms.insert(vm);
+  const auto departed = [&](const VmId& vm) {
+    const auto found = departed_.find(vm);
+    return found != departed_.end() && now <= found->second;
+  };
+  std::size_t seen = reporting_.size();
+  for (const auto& [vm, until] : departed_) seen += departed(vm) ? 1 : 0;
+  for (const FleetMember& member : listed) {
+    const VmId& vm = member.instance.vm;
+    if (!reporting_.contains(vm) && !departed(vm)) ++seen;
   }
-  const std::size_t seen = std::max<std::size_t>(vms.size(), 1);
+  seen = std::max<std::size_t>(seen, 1);
   if (settled && now >= takeover_until_) return seen;
   if (!settled && known_ == 0 && seen < kAssumedMemberCount) return 0;
   return std::max(seen, known_);
