Give a VM no starting share by a list that does not name it

What was at stake: the retry budget of 270 VMs that start together, found in review.

Cause: the starting share of a small fleet is safe because at most eight VMs are announced, so that only they can read a short list that names themselves. Nothing checked that the list does: right after a VM has joined, or when its announcement failed, it may name a few others only.

The stand-in store lists a VM at once, so no process test shows it.

Change: such a list counts as none; list_without_this_vm_gives_no_share holds what that means.

--- a/apps/marigoldquayd/platform_node.cc
+++ b/apps/marigoldquayd/platform_node.cc
@@ -354,7 +354,8 @@
   }
 
   void OnMemberList() {
-    retry_share_.OnList(presence_.listed_members().size(), presence_.IsNewVm());
+    const std::size_t listed = presence_.lists_self() ? presence_.listed_members().size() : 0;
+    retry_share_.OnList(listed, presence_.IsNewVm());
     ApplyRetryLimits();
   }
 
--- a/packages/dispatch/include/marigoldquay/dispatch/retry_burst_share.h
+++ b/packages/dispatch/include/marigoldquay/dispatch/retry_burst_share.h
@@ -38,7 +38,8 @@
   explicit RetryBurstShare(absl::Duration window) : window_(window) {}
 
   void SetWindow(absl::Duration window) { window_ = window; }
-  /// The store lists `vms` VMs, this one among them. `new_vm` is whether it lists no earlier
+  /// The store lists `vms` VMs, this one among them; 0 when the list does not name this VM, as
+  /// others may be missing from it too. `new_vm` is whether it lists no earlier
   /// process of this VM.
   void OnList(std::size_t vms, bool new_vm);
   /// A coordinator has counted this VM as one of `members` in a state sent at `confirmed_at`, which
--- a/packages/dispatch/tests/retry_burst_share_test.cc
+++ b/packages/dispatch/tests/retry_burst_share_test.cc
@@ -117,6 +117,16 @@
   }
 }
 
+// Guards against 270 VMs that take the first list that they read, which names a few others and not
+// themselves, for that of a small fleet.
+BOOST_AUTO_TEST_CASE(list_without_this_vm_gives_no_share) {
+  RetryBurstShare share(kWindow);
+  share.OnList(4, true);
+  BOOST_TEST(share.At(kStart) > 0);
+  share.OnList(0, true);
+  BOOST_TEST(share.At(kStart) == 0);
+}
+
 // Guards against a VM without a share that sends no retry at all.
 BOOST_AUTO_TEST_CASE(vm_that_knows_no_others_retries_by_the_ratio) {
   const RetryBurstShare share(kWindow);
--- a/packages/fleet/include/marigoldquay/fleet/presence_keeper.h
+++ b/packages/fleet/include/marigoldquay/fleet/presence_keeper.h
@@ -41,6 +41,8 @@
   /// Whether no list has named an earlier process of this VM. An announcement lasts for 3.5 to 5 s
   /// after its process has ended.
   bool IsNewVm() const { return !has_earlier_process_; }
+  /// Whether the last list names this process. Others may be missing from one that does not.
+  bool lists_self() const { return lists_self_; }
   bool settled() const override {
     return store_.era() == era_ && read_at_ - first_read_at_ >= kSettleTime;
   }
@@ -70,6 +72,7 @@
   absl::Time read_at_ = absl::InfinitePast();
   StoreEra era_ = 0;
   bool has_earlier_process_ = false;
+  bool lists_self_ = false;
   bool leaving_ = false;
 };
 
--- a/packages/fleet/src/presence_keeper.cc
+++ b/packages/fleet/src/presence_keeper.cc
@@ -75,6 +75,8 @@
       std::any_of(members.begin(), members.end(), [&](const FleetMember& other) {
         return other.instance.vm == self_.vm && other.instance != self_;
       });
+  lists_self_ = std::any_of(members.begin(), members.end(),
+                            [&](const FleetMember& other) { return other.instance == self_; });
   RemoveOldIncarnations(members);
   SortByCoordinatorPriority(members);
   const bool changed = members != listed_members_;
