Continue a stream only at engines of the software version that began it

The version of the entry now reaches the list of servers of every VM. The relay holds fast the version of the first engine that may have run the request, and the scheduler places the rest of the stream only on decode engines of that version. If none is left, a stream that has begun ends broken off; it is never completed by another version. If a server with the same id and another version has started meanwhile, either may have written the events, so the stream is not continued.

Take-ups by callers are not covered yet.

Unit tests: continuation_goes_only_to_engines_of_its_version, continuation_is_refused_when_no_engine_has_its_version, waiting_continuation_is_refused_when_its_version_leaves, only_engine_of_a_version_stays_usable_after_a_failure, full_version_does_not_hold_up_other_demands, entry_names_the_software_version, backend_server_keeps_its_software_version, placement_keeps_the_required_software_version.

--- a/packages/dispatch/include/marigoldquay/dispatch/stream_scheduler.h
+++ b/packages/dispatch/include/marigoldquay/dispatch/stream_scheduler.h
@@ -44,6 +44,9 @@
   std::vector<BackendServerId> excluded;
   /// Parts of the prompt that other requests may share.
   std::vector<PromptPartId> shared_parts;
+  /// Software version that the decode engine must have, as it began the stream; unset for a stream
+  /// that any version may begin. Prefill engines may have any version.
+  std::optional<std::string> software_version;
 
   bool operator==(const StreamDemand&) const = default;
 };
@@ -203,7 +206,11 @@
   // Late demands leave more headroom than demands that can be on time.
   enum class Urgency { kOnTime, kLate };
 
-  bool AllSuspended(EngineRole role, absl::Time now) const;
+  // Whether the engine may decode the stream, which only its own software version can continue.
+  static bool HasRequiredVersion(const Engine& engine, const StreamDemand& demand);
+  bool HasDecodeEngine(const StreamDemand& demand) const;
+  // Of the engines of the role that have the version that the demand requires.
+  bool AllSuspended(EngineRole role, const StreamDemand& demand, absl::Time now) const;
   // Whether several streams of the engine are overdue and no stream has made progress since.
   bool IsStalled(const Engine& decode, absl::Time now) const;
   bool IsUsable(const Engine& engine, const StreamDemand& demand, absl::Time now) const;
--- a/packages/dispatch/src/stream_scheduler.cc
+++ b/packages/dispatch/src/stream_scheduler.cc
@@ -33,6 +33,9 @@
 // stream starts or ends.
 constexpr absl::Duration kRefusalLifetime = absl::Milliseconds(20);
 
+constexpr char kNoEngineOfVersion[] =
+    "no decode engine has the software version that began the stream";
+
 absl::Duration Milliseconds(double ms) { return absl::Milliseconds(ms); }
 
 }  // namespace
@@ -181,8 +184,8 @@
 bool StreamScheduler::AnyDecodeHasCapacity(const StreamDemand& demand, absl::Time now) {
   return std::any_of(engines_.begin(), engines_.end(), [&](auto& entry) {
     Engine& engine = entry.second;
-    return engine.replica.role == EngineRole::kDecode && AcceptsRequest(engine, now) &&
-           HasCapacity(engine, demand, Urgency::kOnTime, now);
+    return engine.replica.role == EngineRole::kDecode && HasRequiredVersion(engine, demand) &&
+           AcceptsRequest(engine, now) && HasCapacity(engine, demand, Urgency::kOnTime, now);
   });
 }
 
@@ -278,7 +281,10 @@
   const bool has_decode = std::any_of(engines_.begin(), engines_.end(), [&](const auto& entry) {
     return entry.second.replica.role == EngineRole::kDecode && IsUsable(entry.second, demand, now);
   });
-  if (!has_decode) return Refuse(ticket, "no usable decode engine", now);
+  if (!has_decode) {
+    const bool other_version = demand.software_version && !HasDecodeEngine(demand);
+    return Refuse(ticket, other_version ? kNoEngineOfVersion : "no usable decode engine", now);
+  }
   if (waiting_.size() >= kMaxWaiting) return Refuse(ticket, "wait queue is full", now);
   const absl::Duration wait = std::max(WaitingPrefillTime(), WaitingRequestTime(demand, now));
   if (now + wait + kFirstDecodeStep + kCallerDeadlineMargin > demand.caller_deadline) {
@@ -319,7 +325,7 @@
   std::vector<StreamDecision> decisions;
   EngineBounds bounds = ComputeEngineBounds();
   // Capacity only shrinks within a round, so a demand at least as large as one that found no
-  // capacity needs no search.
+  // capacity on engines of any version needs no search.
   std::optional<StreamDemand> smallest_without_capacity;
   for (const std::uint64_t ticket : WaitingOrder()) {
     const StreamDemand& demand = waiting_.at(ticket);
@@ -331,7 +337,10 @@
     if (!known_without_capacity && MayStart(bounds, demand, now)) {
       candidate = FindBestCandidate(demand, Urgency::kOnTime, now);
       if (!candidate) candidate = FindBestCandidate(demand, Urgency::kLate, now);
-      if (!candidate && !AnyDecodeHasCapacity(demand, now)) smallest_without_capacity = demand;
+      const bool any_version = !demand.software_version;
+      if (!candidate && any_version && !AnyDecodeHasCapacity(demand, now)) {
+        smallest_without_capacity = demand;
+      }
     }
     const absl::Time first_event =
         candidate ? now + Milliseconds(candidate->prefill_ms) + kFirstDecodeStep
@@ -340,6 +349,9 @@
       decisions.push_back(Grant(ticket, demand, *candidate, now));
       waiting_.erase(ticket);
       bounds = ComputeEngineBounds();
+    } else if (demand.software_version && !HasDecodeEngine(demand)) {
+      decisions.push_back(Refuse(ticket, kNoEngineOfVersion, now));
+      waiting_.erase(ticket);
     } else if (now + kFirstDecodeStep + kCallerDeadlineMargin > demand.caller_deadline) {
       decisions.push_back(Refuse(ticket, "no capacity before the caller's deadline", now));
       waiting_.erase(ticket);
--- a/packages/dispatch/src/stream_scheduler_engines.cc
+++ b/packages/dispatch/src/stream_scheduler_engines.cc
@@ -86,18 +86,33 @@
   return count >= kStalledStreams;
 }
 
-bool StreamScheduler::AllSuspended(EngineRole role, absl::Time now) const {
+bool StreamScheduler::HasRequiredVersion(const Engine& engine, const StreamDemand& demand) {
+  return engine.replica.role != EngineRole::kDecode || !demand.software_version ||
+         engine.replica.software_version == *demand.software_version;
+}
+
+bool StreamScheduler::HasDecodeEngine(const StreamDemand& demand) const {
+  return std::any_of(engines_.begin(), engines_.end(), [&](const auto& entry) {
+    return entry.second.replica.role == EngineRole::kDecode &&
+           HasRequiredVersion(entry.second, demand);
+  });
+}
+
+bool StreamScheduler::AllSuspended(EngineRole role, const StreamDemand& demand,
+                                   absl::Time now) const {
   return std::all_of(engines_.begin(), engines_.end(), [&](const auto& entry) {
     const Engine& engine = entry.second;
-    return engine.replica.role != role || now < engine.suspended_until || IsStalled(engine, now);
+    return engine.replica.role != role || !HasRequiredVersion(engine, demand) ||
+           now < engine.suspended_until || IsStalled(engine, now);
   });
 }
 
 bool StreamScheduler::IsUsable(const Engine& engine, const StreamDemand& demand,
                                absl::Time now) const {
+  if (!HasRequiredVersion(engine, demand)) return false;
   // Suspensions never empty a pool: if all engines of a role are suspended, all are usable.
   const bool suspended = now < engine.suspended_until || IsStalled(engine, now);
-  if (suspended && !AllSuspended(*engine.replica.role, now)) return false;
+  if (suspended && !AllSuspended(*engine.replica.role, demand, now)) return false;
   const auto& excluded = demand.excluded;
   return std::find(excluded.begin(), excluded.end(), engine.replica.id) == excluded.end();
 }
--- a/packages/dispatch/tests/stream_scheduler_test.cc
+++ b/packages/dispatch/tests/stream_scheduler_test.cc
@@ -238,6 +238,87 @@
   }));
 }
 
+// Engines d1 and d2 of version 1, d3 of version 2.
+struct VersionFixture : Fixture {
+  VersionFixture() {
+    engines.push_back(Engine("d3", EngineRole::kDecode));
+    for (Replica& engine : engines) engine.software_version = engine.id == "d3" ? "2" : "1";
+    scheduler.SetEngines({16, kCapacity}, engines);
+  }
+  static StreamDemand Continuation(const std::string& version, TokenCount prompt = 5000) {
+    StreamDemand demand = Demand(prompt, kStart);
+    demand.software_version = version;
+    return demand;
+  }
+  void RemoveEngine(const std::string& id) {
+    std::erase_if(engines, [&](const Replica& engine) { return engine.id == id; });
+    scheduler.SetEngines({16, kCapacity}, engines);
+  }
+};
+
+// Guards against a stream that is continued by an engine of another version because that one is
+// less loaded.
+BOOST_FIXTURE_TEST_CASE(continuation_goes_only_to_engines_of_its_version, VersionFixture) {
+  // The only prefill engine has version 1.
+  BOOST_TEST(scheduler.Place(Continuation("2"), kStart).prefill.value_or("") == "p1");
+  for (int i = 0; i < 6; ++i) {
+    const auto decision = scheduler.Place(Continuation("2"), kStart);
+    if (decision.verdict != StreamVerdict::kGranted) break;
+    BOOST_TEST(decision.decode == "d3");
+  }
+  const auto decision = scheduler.Place(Continuation("1"), kStart);
+  BOOST_TEST((decision.verdict == StreamVerdict::kGranted));
+  BOOST_TEST(decision.decode != "d3");
+}
+
+// Guards against a continuation that waits until its caller gives up although nothing can serve it.
+BOOST_FIXTURE_TEST_CASE(continuation_is_refused_when_no_engine_has_its_version, VersionFixture) {
+  const auto decision = scheduler.Place(Continuation("3"), kStart);
+  BOOST_TEST((decision.verdict == StreamVerdict::kRefused));
+  BOOST_TEST(decision.reason.find("software version") != std::string::npos);
+  BOOST_TEST((scheduler.Place(Demand(5000, kStart), kStart).verdict == StreamVerdict::kGranted));
+}
+
+// Guards against the same for a continuation that waits when the last engine of its version leaves.
+BOOST_FIXTURE_TEST_CASE(waiting_continuation_is_refused_when_its_version_leaves, VersionFixture) {
+  std::uint64_t waiting = 0;
+  while (waiting == 0) {
+    const auto decision = scheduler.Place(Continuation("2"), kStart);
+    if (decision.verdict == StreamVerdict::kQueued) waiting = decision.ticket;
+  }
+  RemoveEngine("d3");
+  const auto decisions = scheduler.PlaceWaiting(kStart + absl::Milliseconds(20));
+  BOOST_TEST_REQUIRE(decisions.size() == 1);
+  BOOST_TEST(decisions[0].ticket == waiting);
+  BOOST_TEST((decisions[0].verdict == StreamVerdict::kRefused));
+}
+
+// Guards against a version whose only engine has failed once and is then avoided, since engines of
+// other versions remain.
+BOOST_FIXTURE_TEST_CASE(only_engine_of_a_version_stays_usable_after_a_failure, VersionFixture) {
+  const auto first = scheduler.Place(Continuation("2"), kStart);
+  scheduler.OnEnd(first.ticket, StreamEnd::kFailed, kStart);
+  const auto second = scheduler.Place(Continuation("2"), kStart);
+  BOOST_TEST((second.verdict == StreamVerdict::kGranted));
+  BOOST_TEST(second.decode == "d3");
+}
+
+// Guards against continuations without capacity at their version that hold up streams which any
+// version may begin.
+BOOST_FIXTURE_TEST_CASE(full_version_does_not_hold_up_other_demands, VersionFixture) {
+  for (int i = 0; i < 4; ++i) (void)scheduler.Adopt(Continuation("2", 12'000), "d3", kStart);
+  const auto continuation = scheduler.Place(Continuation("2", 4000), kStart);
+  BOOST_TEST_REQUIRE((continuation.verdict == StreamVerdict::kQueued));
+  StreamDemand demand = Demand(4000, kStart);
+  demand.first_event_due = kStart;
+  const auto begun = scheduler.Place(demand, kStart);
+  BOOST_TEST_REQUIRE((begun.verdict == StreamVerdict::kQueued));
+  const auto decisions = scheduler.PlaceWaiting(kStart + absl::Milliseconds(20));
+  BOOST_TEST_REQUIRE(decisions.size() == 1);
+  BOOST_TEST(decisions[0].ticket == begun.ticket);
+  BOOST_TEST(decisions[0].decode != "d3");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/packages/fleet/include/marigoldquay/fleet/coordinator_link.h
+++ b/packages/fleet/include/marigoldquay/fleet/coordinator_link.h
@@ -148,6 +148,8 @@
     std::string service;
     StreamDemand demand;
     BackendServerId decode;
+    // That of the decode engine; unset when it was not listed.
+    std::optional<std::string> software_version;
     bool local = false;
     std::uint64_t ticket = 0;
     // Session for which the ticket is valid.
@@ -206,6 +208,8 @@
   std::optional<PlacementOutcome> PlaceByCoordinator(const StreamPlacementRequest& request,
                                                      Cancellation& cancellation, Yield yield);
   PlacementOutcome PlaceLocally(const StreamPlacementRequest& request);
+  // Unset when the server is not listed.
+  std::optional<std::string> SoftwareVersionOf(const BackendServerId& server) const;
   StreamPlacement AddPlacement(const StreamPlacementRequest& request,
                                const protocol::PlaceStreamReplyT& reply);
   StreamScheduler& LocalScheduler(const std::string& service);
--- a/packages/fleet/src/coordinator_link.cc
+++ b/packages/fleet/src/coordinator_link.cc
@@ -164,6 +164,7 @@
     StreamPlacementRequest request;
     request.service = active.service;
     request.demand = active.demand;
+    request.demand.software_version = active.software_version;
     auto message = ToWire(request, clock_.Now());
     message.running_on = active.decode;
     const std::uint64_t call_id = next_call_++;
--- a/packages/fleet/src/coordinator_link_placing.cc
+++ b/packages/fleet/src/coordinator_link_placing.cc
@@ -159,6 +159,11 @@
   return refusal;
 }
 
+std::optional<std::string> CoordinatorLink::SoftwareVersionOf(const BackendServerId& server) const {
+  const Replica* listed = view_.replicas().Find(server);
+  return listed == nullptr ? std::nullopt : std::make_optional(listed->software_version);
+}
+
 StreamPlacement CoordinatorLink::AddPlacement(const StreamPlacementRequest& request,
                                               const protocol::PlaceStreamReplyT& reply) {
   StreamPlacement placement;
@@ -167,8 +172,9 @@
   if (!reply.prefill_server.empty()) placement.prefill = reply.prefill_server;
   placement.decode = reply.decode_server;
   placement.expected = absl::Milliseconds(reply.expected_ms);
-  active_placements_[placement.ticket] = {request.service, request.demand, placement.decode,
-                                          false,           reply.ticket,   session_};
+  active_placements_[placement.ticket] = {
+      request.service, request.demand, placement.decode, SoftwareVersionOf(placement.decode),
+      false,           reply.ticket,   session_};
   return placement;
 }
 
@@ -253,8 +259,13 @@
   placement.prefill = decision.prefill;
   placement.decode = decision.decode;
   placement.expected = decision.expected;
-  active_placements_[placement.ticket] = {
-      request.service, request.demand, placement.decode, true, decision.ticket, 0};
+  active_placements_[placement.ticket] = {request.service,
+                                          request.demand,
+                                          placement.decode,
+                                          SoftwareVersionOf(placement.decode),
+                                          true,
+                                          decision.ticket,
+                                          0};
   return placement;
 }
 
--- a/packages/fleet/src/wire.cc
+++ b/packages/fleet/src/wire.cc
@@ -129,6 +129,7 @@
   wire->draining = replica.draining;
   if (replica.role) wire->role = *replica.role == EngineRole::kPrefill ? kWirePrefill : kWireDecode;
   wire->started_unix_ms = replica.started_unix_ms;
+  wire->software_version = replica.software_version;
   wire->sequence = replica.sequence;
   if (replica.request_limit.stated_at != absl::InfinitePast()) {
     wire->request_limit =
@@ -149,6 +150,7 @@
   if (wire.role == kWirePrefill) replica.role = EngineRole::kPrefill;
   if (wire.role == kWireDecode) replica.role = EngineRole::kDecode;
   replica.started_unix_ms = wire.started_unix_ms;
+  replica.software_version = wire.software_version;
   if (wire.request_limit) replica.request_limit = FromWire(*wire.request_limit, now).limit;
   return replica;
 }
@@ -193,6 +195,8 @@
   wire.availability_zone = request.demand.availability_zone;
   wire.excluded = request.demand.excluded;
   wire.parts = request.demand.shared_parts;
+  wire.has_software_version = request.demand.software_version.has_value();
+  wire.software_version = request.demand.software_version.value_or("");
   return wire;
 }
 
@@ -207,6 +211,7 @@
   demand.availability_zone = wire.availability_zone;
   demand.excluded = wire.excluded;
   demand.shared_parts = wire.parts;
+  if (wire.has_software_version) demand.software_version = wire.software_version;
   return demand;
 }
 
--- /dev/null
+++ b/packages/fleet/tests/wire_test.cc
@@ -0,0 +1,37 @@
+// Messages between VMs: what is sent arrives unchanged.
+#include "wire.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace marigoldquay::internal {
+namespace {
+
+const absl::Time kNow = absl::UnixEpoch() + absl::Hours(1);
+
+BOOST_AUTO_TEST_SUITE(wire)
+
+// Guards against a VM that learns of an engine from the coordinator without its software version.
+BOOST_AUTO_TEST_CASE(backend_server_keeps_its_software_version) {
+  Replica replica;
+  replica.id = "i-1";
+  replica.software_version = "7.1-b";
+  BOOST_TEST((FromWire(*ToWire(replica, kNow), kNow) == replica));
+}
+
+// Guards against a continuation that loses the version it requires on its way to the coordinator.
+BOOST_AUTO_TEST_CASE(placement_keeps_the_required_software_version) {
+  StreamPlacementRequest request;
+  request.service = "llm";
+  for (const std::optional<std::string>& version :
+       {std::optional<std::string>(), std::make_optional<std::string>(""),
+        std::make_optional<std::string>("7")}) {
+    request.demand.software_version = version;
+    const auto arrived = DemandFromWire(ToWire(request, kNow), kNow);
+    BOOST_TEST((arrived.software_version == version));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace marigoldquay::internal
--- a/packages/protocol/include/marigoldquay/protocol/inner_generated.h
+++ b/packages/protocol/include/marigoldquay/protocol/inner_generated.h
@@ -5653,6 +5653,7 @@
   int64_t started_unix_ms = 0;
   std::unique_ptr<marigoldquay::protocol::RequestLimitT> request_limit{};
   int64_t sequence = 0;
+  std::string software_version{};
   BackendEntryT() = default;
   BackendEntryT(const BackendEntryT &o);
   BackendEntryT(BackendEntryT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -5676,7 +5677,8 @@
     VT_ROLE = 16,
     VT_STARTED_UNIX_MS = 18,
     VT_REQUEST_LIMIT = 20,
-    VT_SEQUENCE = 22
+    VT_SEQUENCE = 22,
+    VT_SOFTWARE_VERSION = 24
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -5708,6 +5710,9 @@
   int64_t sequence() const {
     return GetField<int64_t>(VT_SEQUENCE, 0);
   }
+  const flatbuffers::String *software_version() const {
+    return GetPointer<const flatbuffers::String *>(VT_SOFTWARE_VERSION);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_ID) &&
@@ -5725,6 +5730,8 @@
            VerifyOffset(verifier, VT_REQUEST_LIMIT) &&
            verifier.VerifyTable(request_limit()) &&
            VerifyField<int64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyOffset(verifier, VT_SOFTWARE_VERSION) &&
+           verifier.VerifyString(software_version()) &&
            verifier.EndTable();
   }
   BackendEntryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5766,6 +5773,9 @@
   void add_sequence(int64_t sequence) {
     fbb_.AddElement<int64_t>(BackendEntry::VT_SEQUENCE, sequence, 0);
   }
+  void add_software_version(flatbuffers::Offset<flatbuffers::String> software_version) {
+    fbb_.AddOffset(BackendEntry::VT_SOFTWARE_VERSION, software_version);
+  }
   explicit BackendEntryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5789,10 +5799,12 @@
     uint8_t role = 0,
     int64_t started_unix_ms = 0,
     flatbuffers::Offset<marigoldquay::protocol::RequestLimit> request_limit = 0,
-    int64_t sequence = 0) {
+    int64_t sequence = 0,
+    flatbuffers::Offset<flatbuffers::String> software_version = 0) {
   BackendEntryBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
   builder_.add_started_unix_ms(started_unix_ms);
+  builder_.add_software_version(software_version);
   builder_.add_request_limit(request_limit);
   builder_.add_slots(slots);
   builder_.add_availability_zone(availability_zone);
@@ -5820,11 +5832,13 @@
     uint8_t role = 0,
     int64_t started_unix_ms = 0,
     flatbuffers::Offset<marigoldquay::protocol::RequestLimit> request_limit = 0,
-    int64_t sequence = 0) {
+    int64_t sequence = 0,
+    const char *software_version = nullptr) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto availability_zone__ = availability_zone ? _fbb.CreateString(availability_zone) : 0;
+  auto software_version__ = software_version ? _fbb.CreateString(software_version) : 0;
   return marigoldquay::protocol::CreateBackendEntry(
       _fbb,
       id__,
@@ -5836,7 +5850,8 @@
       role,
       started_unix_ms,
       request_limit,
-      sequence);
+      sequence,
+      software_version__);
 }
 
 flatbuffers::Offset<BackendEntry> CreateBackendEntry(flatbuffers::FlatBufferBuilder &_fbb, const BackendEntryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6183,6 +6198,8 @@
   std::string running_on{};
   std::string charged_server{};
   std::vector<uint64_t> parts{};
+  bool has_software_version = false;
+  std::string software_version{};
 };
 
 struct PlaceStreamRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -6206,7 +6223,9 @@
     VT_EXCLUDED = 24,
     VT_RUNNING_ON = 26,
     VT_CHARGED_SERVER = 28,
-    VT_PARTS = 30
+    VT_PARTS = 30,
+    VT_HAS_SOFTWARE_VERSION = 32,
+    VT_SOFTWARE_VERSION = 34
   };
   const flatbuffers::String *request_id() const {
     return GetPointer<const flatbuffers::String *>(VT_REQUEST_ID);
@@ -6250,6 +6269,12 @@
   const flatbuffers::Vector<uint64_t> *parts() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_PARTS);
   }
+  bool has_software_version() const {
+    return GetField<uint8_t>(VT_HAS_SOFTWARE_VERSION, 0) != 0;
+  }
+  const flatbuffers::String *software_version() const {
+    return GetPointer<const flatbuffers::String *>(VT_SOFTWARE_VERSION);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_REQUEST_ID) &&
@@ -6275,6 +6300,9 @@
            verifier.VerifyString(charged_server()) &&
            VerifyOffset(verifier, VT_PARTS) &&
            verifier.VerifyVector(parts()) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_SOFTWARE_VERSION, 1) &&
+           VerifyOffset(verifier, VT_SOFTWARE_VERSION) &&
+           verifier.VerifyString(software_version()) &&
            verifier.EndTable();
   }
   PlaceStreamRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -6328,6 +6356,12 @@
   void add_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts) {
     fbb_.AddOffset(PlaceStreamRequest::VT_PARTS, parts);
   }
+  void add_has_software_version(bool has_software_version) {
+    fbb_.AddElement<uint8_t>(PlaceStreamRequest::VT_HAS_SOFTWARE_VERSION, static_cast<uint8_t>(has_software_version), 0);
+  }
+  void add_software_version(flatbuffers::Offset<flatbuffers::String> software_version) {
+    fbb_.AddOffset(PlaceStreamRequest::VT_SOFTWARE_VERSION, software_version);
+  }
   explicit PlaceStreamRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -6356,11 +6390,14 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> excluded = 0,
     flatbuffers::Offset<flatbuffers::String> running_on = 0,
     flatbuffers::Offset<flatbuffers::String> charged_server = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0,
+    bool has_software_version = false,
+    flatbuffers::Offset<flatbuffers::String> software_version = 0) {
   PlaceStreamRequestBuilder builder_(_fbb);
   builder_.add_output_tokens(output_tokens);
   builder_.add_prompt_tokens(prompt_tokens);
   builder_.add_charge(charge);
+  builder_.add_software_version(software_version);
   builder_.add_parts(parts);
   builder_.add_charged_server(charged_server);
   builder_.add_running_on(running_on);
@@ -6372,6 +6409,7 @@
   builder_.add_workspace(workspace);
   builder_.add_service(service);
   builder_.add_request_id(request_id);
+  builder_.add_has_software_version(has_software_version);
   return builder_.Finish();
 }
 
@@ -6395,7 +6433,9 @@
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *excluded = nullptr,
     const char *running_on = nullptr,
     const char *charged_server = nullptr,
-    const std::vector<uint64_t> *parts = nullptr) {
+    const std::vector<uint64_t> *parts = nullptr,
+    bool has_software_version = false,
+    const char *software_version = nullptr) {
   auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
@@ -6404,6 +6444,7 @@
   auto running_on__ = running_on ? _fbb.CreateString(running_on) : 0;
   auto charged_server__ = charged_server ? _fbb.CreateString(charged_server) : 0;
   auto parts__ = parts ? _fbb.CreateVector<uint64_t>(*parts) : 0;
+  auto software_version__ = software_version ? _fbb.CreateString(software_version) : 0;
   return marigoldquay::protocol::CreatePlaceStreamRequest(
       _fbb,
       request_id__,
@@ -6419,7 +6460,9 @@
       excluded__,
       running_on__,
       charged_server__,
-      parts__);
+      parts__,
+      has_software_version,
+      software_version__);
 }
 
 flatbuffers::Offset<PlaceStreamRequest> CreatePlaceStreamRequest(flatbuffers::FlatBufferBuilder &_fbb, const PlaceStreamRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -9122,7 +9165,8 @@
       (lhs.role == rhs.role) &&
       (lhs.started_unix_ms == rhs.started_unix_ms) &&
       ((lhs.request_limit == rhs.request_limit) || (lhs.request_limit && rhs.request_limit && *lhs.request_limit == *rhs.request_limit)) &&
-      (lhs.sequence == rhs.sequence);
+      (lhs.sequence == rhs.sequence) &&
+      (lhs.software_version == rhs.software_version);
 }
 
 inline bool operator!=(const BackendEntryT &lhs, const BackendEntryT &rhs) {
@@ -9140,7 +9184,8 @@
         role(o.role),
         started_unix_ms(o.started_unix_ms),
         request_limit((o.request_limit) ? new marigoldquay::protocol::RequestLimitT(*o.request_limit) : nullptr),
-        sequence(o.sequence) {
+        sequence(o.sequence),
+        software_version(o.software_version) {
 }
 
 inline BackendEntryT &BackendEntryT::operator=(BackendEntryT o) FLATBUFFERS_NOEXCEPT {
@@ -9154,6 +9199,7 @@
   std::swap(started_unix_ms, o.started_unix_ms);
   std::swap(request_limit, o.request_limit);
   std::swap(sequence, o.sequence);
+  std::swap(software_version, o.software_version);
   return *this;
 }
 
@@ -9176,6 +9222,7 @@
   { auto _e = started_unix_ms(); _o->started_unix_ms = _e; }
   { auto _e = request_limit(); if (_e) _o->request_limit = std::unique_ptr<marigoldquay::protocol::RequestLimitT>(_e->UnPack(_resolver)); }
   { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = software_version(); if (_e) _o->software_version = _e->str(); }
 }
 
 inline flatbuffers::Offset<BackendEntry> BackendEntry::Pack(flatbuffers::FlatBufferBuilder &_fbb, const BackendEntryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -9196,6 +9243,7 @@
   auto _started_unix_ms = _o->started_unix_ms;
   auto _request_limit = _o->request_limit ? CreateRequestLimit(_fbb, _o->request_limit.get(), _rehasher) : 0;
   auto _sequence = _o->sequence;
+  auto _software_version = _o->software_version.empty() ? 0 : _fbb.CreateString(_o->software_version);
   return marigoldquay::protocol::CreateBackendEntry(
       _fbb,
       _id,
@@ -9207,7 +9255,8 @@
       _role,
       _started_unix_ms,
       _request_limit,
-      _sequence);
+      _sequence,
+      _software_version);
 }
 
 
@@ -9378,7 +9427,9 @@
       (lhs.excluded == rhs.excluded) &&
       (lhs.running_on == rhs.running_on) &&
       (lhs.charged_server == rhs.charged_server) &&
-      (lhs.parts == rhs.parts);
+      (lhs.parts == rhs.parts) &&
+      (lhs.has_software_version == rhs.has_software_version) &&
+      (lhs.software_version == rhs.software_version);
 }
 
 inline bool operator!=(const PlaceStreamRequestT &lhs, const PlaceStreamRequestT &rhs) {
@@ -9409,6 +9460,8 @@
   { auto _e = running_on(); if (_e) _o->running_on = _e->str(); }
   { auto _e = charged_server(); if (_e) _o->charged_server = _e->str(); }
   { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = _e->Get(_i); } } }
+  { auto _e = has_software_version(); _o->has_software_version = _e; }
+  { auto _e = software_version(); if (_e) _o->software_version = _e->str(); }
 }
 
 inline flatbuffers::Offset<PlaceStreamRequest> PlaceStreamRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceStreamRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -9433,6 +9486,8 @@
   auto _running_on = _o->running_on.empty() ? 0 : _fbb.CreateString(_o->running_on);
   auto _charged_server = _o->charged_server.empty() ? 0 : _fbb.CreateString(_o->charged_server);
   auto _parts = _o->parts.size() ? _fbb.CreateVector(_o->parts) : 0;
+  auto _has_software_version = _o->has_software_version;
+  auto _software_version = _o->software_version.empty() ? 0 : _fbb.CreateString(_o->software_version);
   return marigoldquay::protocol::CreatePlaceStreamRequest(
       _fbb,
       _request_id,
@@ -9448,7 +9503,9 @@
       _excluded,
       _running_on,
       _charged_server,
-      _parts);
+      _parts,
+      _has_software_version,
+      _software_version);
 }
 
 
--- a/packages/relay/src/model_relay.cc
+++ b/packages/relay/src/model_relay.cc
@@ -70,6 +70,7 @@
       request.demand.excluded = state_.context.health.Refusing(state_.Now());
       request.demand.excluded.insert(request.demand.excluded.end(), excluded_.begin(),
                                      excluded_.end());
+      request.demand.software_version = software_version_;
       const auto outcome = state_.context.placer.Place(request, state_.cancellation, yield);
       if (state_.cancellation.cancelled()) {
         AbandonPlacement(outcome);
@@ -174,6 +175,13 @@
       return Exclude(placement.decode);
     }
     const Replica decode = *listed;
+    if (software_version_ && decode.software_version != *software_version_) {
+      last_detail_ = absl::StrCat("decode engine ", decode.id, " has software version ",
+                                  decode.software_version, ", and the stream began at version ",
+                                  *software_version_);
+      guard.End(StreamEnd::kCancelled);
+      return Exclude(decode.id);
+    }
     auto cache = placement.prefill ? RunPrefill(placement, yield) : nullptr;
     if (state_.cancellation.cancelled()) {
       ReleaseCache(std::move(cache));
@@ -313,11 +321,13 @@
         return HandleRejection(placement, attempt, had_cache, guard);
       case AttemptOutcome::kUnknown:
         ++state_.execution_count;
+        software_version_ = decode.software_version;
         ReportCrash(attempt);
         guard.End(StreamEnd::kFailed);
-        return HandleInterruption(decode.id, yield);
+        return HandleInterruption(decode, yield);
       case AttemptOutcome::kResponded:
         ++state_.execution_count;
+        software_version_ = decode.software_version;
         return ForwardResponse(placement, attempt, guard, yield);
     }
     return NextStep::kStop;
@@ -370,15 +380,25 @@
     return options;
   }
 
-  bool MayResume() const {
-    return state_.route->resumable && state_.execution_count < state_.route->max_attempts;
+  // Whether another engine may continue after the attempt at `decode`.
+  bool MayResume(const Replica& decode) const {
+    return state_.route->resumable && state_.execution_count < state_.route->max_attempts &&
+           IsVersionCertain(decode);
+  }
+
+  // False when a server with the same id and another software version has started meanwhile: the
+  // response may have come from either.
+  bool IsVersionCertain(const Replica& decode) const {
+    const Replica* listed = state_.context.cluster.replicas().Find(decode.id);
+    return listed == nullptr || listed->started_unix_ms == decode.started_unix_ms ||
+           listed->software_version == decode.software_version;
   }
 
   // Handles a stream that was interrupted or a request without a valid response.
-  NextStep HandleInterruption(const BackendServerId& server, Yield yield) {
-    if (MayResume()) {
+  NextStep HandleInterruption(const Replica& decode, Yield yield) {
+    if (MayResume(decode)) {
       events_.DiscardPartial();
-      return Exclude(server);
+      return Exclude(decode.id);
     }
     if (state_.reply.started()) {
       state_.outcome = absl::StrCat("stream interrupted: ", last_detail_);
@@ -396,7 +416,7 @@
     if (state_.reply.started() && !attempt.IsEventStream()) {
       last_detail_ = "the response that was to continue the stream is no event stream";
       guard.End(StreamEnd::kFailed);
-      return HandleInterruption(attempt.replica().id, yield);
+      return HandleInterruption(attempt.replica(), yield);
     }
     if (!state_.reply.started()) {
       state_.status = attempt.status();
@@ -427,7 +447,7 @@
         last_detail_ = attempt.detail();
         ReportCrash(attempt);
         guard.End(StreamEnd::kFailed);
-        return HandleInterruption(attempt.replica().id, yield);
+        return HandleInterruption(attempt.replica(), yield);
       }
       if (first && !chunk.empty()) {
         first = false;
@@ -438,7 +458,7 @@
       if (!HasRoomForEvent(attempt)) {
         last_detail_ = absl::StrCat("event of over ", events_.partial_bytes(), " bytes");
         guard.End(StreamEnd::kFailed);
-        return HandleInterruption(attempt.replica().id, yield);
+        return HandleInterruption(attempt.replica(), yield);
       }
       const auto sent = state_.reply.Append(events, yield);
       if (!sent) {
@@ -470,7 +490,7 @@
     guard.End(StreamEnd::kFailed);
     if (!read || !*read || state_.reply.started()) {
       last_detail_ = absl::StrCat("status ", attempt.status(), " ", attempt.detail());
-      return HandleInterruption(attempt.replica().id, yield);
+      return HandleInterruption(attempt.replica(), yield);
     }
     state_.status = attempt.status();
     state_.outcome = "answered";
@@ -487,6 +507,9 @@
   EventSplitter events_;
   std::string last_detail_;
   bool prefill_accepted_ = false;
+  // Version of the first engine that may have run the request. Only engines of this version can
+  // continue the stream.
+  std::optional<std::string> software_version_;
   // Of the current attempt.
   absl::Time first_event_at_ = absl::InfiniteFuture();
 };
--- a/packages/routing/include/marigoldquay/routing/replica_table.h
+++ b/packages/routing/include/marigoldquay/routing/replica_table.h
@@ -52,6 +52,9 @@
   bool draining = false;
   /// Set only for model engines.
   std::optional<EngineRole> role;
+  /// Version of its software; empty when the entry names none. Two versions have no order, and a
+  /// stream that one has begun cannot be continued by another.
+  std::string software_version;
   /// Start time of the process; distinguishes instances with the same id.
   std::int64_t started_unix_ms = 0;
   /// Number of the entry among those that the instance has written, from 1 on; 0 when unknown.
