Take a stream up again only at the software version that began it

The header Resumes was not read, and nothing outside the relay of one answer knew which version had begun a stream.

The coordinator records the version of the decode engine of each placement, and a take-up is placed at the version of the request that it names. Batches of these records and a history of each service's versions are kept in the store, the batches only while versions mix. A new version begins streams once the history names it, after one second at the latest. A coordinator that does not hold the store's records yet lets take-ups wait; a VM without one refuses them.

The relay also checks that the engine which it was given has the version that the coordinator saw, since their lists may differ for a moment.

--- a/apps/marigoldquayd/platform_node.cc
+++ b/apps/marigoldquayd/platform_node.cc
@@ -23,6 +23,7 @@
 #include "marigoldquay/fleet/presence_keeper.h"
 #include "marigoldquay/fleet/quarantine_keeper.h"
 #include "marigoldquay/fleet/role_keeper.h"
+#include "marigoldquay/fleet/stream_version_keeper.h"
 #include "marigoldquay/net/memory_budget.h"
 #include "marigoldquay/platform/header_dialect.h"
 #include "marigoldquay/platform/node_settings.h"
@@ -207,6 +208,9 @@
             {self_.instance.ToString(), settings_.order_lease, [this] { return MayOrder(); }}),
         quarantine_keeper_(io_, clock_, store_, coordinator_,
                            [this] { return link_.FeedsOthers(); }),
+        stream_version_keeper_(io_, clock_, store_, coordinator_,
+                               {self_.instance.ToString(), [this] { return link_.FeedsOthers(); },
+                                [this] { return settings_.bootstrap; }}),
         catalog_follower_(io_, clock_, store_, view_, link_, [this] { OnCatalogChange(); }),
         replica_follower_(io_, clock_, store_, view_, link_, [this] { OnReplicaChange(); }),
         front_({io_, clock_, view_, dialect_, connections_, health_, balancer_, budgets_, link_,
@@ -266,6 +270,7 @@
     spawn("coordinator link", [this](Yield yield) { link_.Run(yield); });
     spawn("engine roles", [this](Yield yield) { role_keeper_.Run(yield); });
     spawn("quarantines", [this](Yield yield) { quarantine_keeper_.Run(yield); });
+    spawn("stream versions", [this](Yield yield) { stream_version_keeper_.Run(yield); });
     spawn("reports", [this](Yield yield) { link_.RunReports(yield); });
     spawn("housekeeping", [this](Yield yield) { KeepHouse(yield); });
     spawn("flush log", [this](Yield yield) {
@@ -548,6 +553,7 @@
   CoordinatorLink link_;
   RoleKeeper role_keeper_;
   QuarantineKeeper quarantine_keeper_;
+  StreamVersionKeeper stream_version_keeper_;
   CatalogFollower catalog_follower_;
   ReplicaFollower replica_follower_;
   FrontHandler front_;
--- a/packages/fleet/include/marigoldquay/fleet/cluster_store.h
+++ b/packages/fleet/include/marigoldquay/fleet/cluster_store.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -13,6 +14,7 @@
 #include "marigoldquay/core/error_or.h"
 #include "marigoldquay/core/types.h"
 #include "marigoldquay/dispatch/request_quarantine.h"
+#include "marigoldquay/dispatch/stream_versions.h"
 #include "marigoldquay/net/async.h"
 #include "marigoldquay/routing/catalog.h"
 #include "marigoldquay/routing/replica_table.h"
@@ -81,6 +83,46 @@
   std::vector<std::string> skipped;
 };
 
+/// Versions that could begin streams of a service, as the store keeps them.
+struct KeptVersionHistory {
+  std::string service;
+  std::set<SoftwareVersion> versions;
+  /// Time since when no other version could; infinite when none ever could.
+  absl::Duration age;
+  /// Era in which the record was written.
+  StoreEra era = 0;
+
+  bool operator==(const KeptVersionHistory&) const = default;
+};
+
+/// Result of reading the histories.
+struct KeptVersionHistories {
+  std::vector<KeptVersionHistory> listed;
+  /// One reason for each record that was skipped.
+  std::vector<std::string> skipped;
+};
+
+/// Origins of streams of a service, as the store keeps them.
+struct KeptStreamOrigins {
+  std::string service;
+  std::string writer;
+  /// Time since they were written.
+  absl::Duration age;
+  std::vector<StreamOrigin> streams;
+
+  bool operator==(const KeptStreamOrigins&) const = default;
+};
+
+/// Result of reading a part of the origins.
+struct KeptStreamOriginsPart {
+  std::vector<KeptStreamOrigins> listed;
+  std::vector<std::string> skipped;
+  /// Where the next read continues.
+  StorePosition next;
+  /// Whether there is nothing behind it.
+  bool is_last = false;
+};
+
 /// Errors: kResourceExhausted (rate limit exceeded), kRefused (not executed), kConflict (condition
 /// not met, not a member, or the era changed during a read of several calls), kNotFound (the
 /// history at this position was discarded, or the position is of an earlier era), kTimeout and
@@ -116,6 +158,13 @@
   virtual ErrorOr<KeptQuarantines> ListQuarantines(Yield yield) = 0;
   virtual ErrorOrVoid KeepQuarantine(const KeptQuarantine& quarantine, Yield yield) = 0;
   virtual ErrorOrVoid DropQuarantine(const std::vector<RequestTrait>& traits, Yield yield) = 0;
+  virtual ErrorOr<KeptVersionHistories> ListVersionHistories(Yield yield) = 0;
+  /// The record names the present era, whatever `history.era` is.
+  virtual ErrorOrVoid KeepVersionHistory(const KeptVersionHistory& history, Yield yield) = 0;
+  /// Origins behind `from`, or from the first that the store still has when it is unset.
+  virtual ErrorOr<KeptStreamOriginsPart> ReadStreamOrigins(const std::optional<StorePosition>& from,
+                                                           Yield yield) = 0;
+  virtual ErrorOrVoid KeepStreamOrigins(const KeptStreamOrigins& origins, Yield yield) = 0;
   /// Names of announced members; the first one is the coordinator unless it is unreachable.
   virtual ErrorOr<std::vector<std::string>> ListMembers(Yield yield) = 0;
 };
--- a/packages/fleet/include/marigoldquay/fleet/coordinator.h
+++ b/packages/fleet/include/marigoldquay/fleet/coordinator.h
@@ -16,6 +16,7 @@
 #include "marigoldquay/dispatch/quota_ledger.h"
 #include "marigoldquay/dispatch/request_quarantine.h"
 #include "marigoldquay/dispatch/stream_scheduler.h"
+#include "marigoldquay/dispatch/stream_versions.h"
 #include "marigoldquay/fleet/cluster_store.h"
 #include "marigoldquay/fleet/frame_connection.h"
 #include "marigoldquay/fleet/member.h"
@@ -88,6 +89,12 @@
   /// Adopts a quarantine of an earlier coordinator.
   void AdoptQuarantine(const QuarantinedTraits& quarantined);
 
+  /// Versions that began the streams placed here; kept in the store by StreamVersionKeeper.
+  StreamVersions& stream_versions() { return versions_; }
+  /// Called after the store has acknowledged a history or some time has passed: versions may begin
+  /// streams now that could not before.
+  void OnVersionsAdmitted();
+
   std::size_t sessions() const { return sessions_.size(); }
   /// Whether the VM reports to this coordinator.
   bool IsReporting(absl::string_view vm) const { return reporting_members_.contains(vm); }
@@ -147,6 +154,16 @@
   // exceed the rate.
   bool ChargeQuota(const protocol::PlaceStreamRequestT& request,
                    protocol::PlaceStreamReplyT& refusal);
+  // Requires the version that began the stream which the request takes up. Fills `refusal` and
+  // returns false when it is unknown.
+  bool RequireOrigin(const protocol::PlaceStreamRequestT& request, StreamDemand& demand,
+                     protocol::PlaceStreamReplyT& refusal) const;
+  void RecordOrigin(const std::string& service, const std::string& request_id,
+                    const StreamDecision& decision);
+  // Tells `versions_` of the engines and of the time in which callers come back.
+  void UpdateVersions(const Catalog& catalog);
+  // Engines of the service whose version may begin streams.
+  std::vector<Replica> AdmittedEngines(const std::string& service);
   void SendDecision(Session& session, std::uint64_t call_id, const std::string& service,
                     const StreamDecision& decision);
   // Adds the time and sends the reply.
@@ -195,6 +212,9 @@
   std::map<TicketKey, QueuedPlacement> queued_placements_;
   QuotaLedger quota_{0};
   RequestQuarantine quarantine_;
+  StreamVersions versions_;
+  // Engines that get no streams until the store's history names their version.
+  std::set<BackendServerId> gated_engines_;
   MemberTable reporting_members_;
   MemberCounter member_counter_;
   // Latest version that a VM was asked for.
--- a/packages/fleet/src/coordinator.cc
+++ b/packages/fleet/src/coordinator.cc
@@ -284,7 +284,7 @@
   const auto catalog = view_.catalog();
   const auto* configured = catalog ? catalog->FindService(service) : nullptr;
   if (configured != nullptr && configured->engine) {
-    scheduler.SetEngines(*configured->engine, view_.replicas().FindReady(service));
+    scheduler.SetEngines(*configured->engine, AdmittedEngines(service));
   }
   return scheduler;
 }
@@ -294,10 +294,12 @@
   if (!catalog) return;
   TriggerStateBroadcast();
   quota_.RetainServers(view_.replicas().ids());
+  UpdateVersions(*catalog);
+  gated_engines_.clear();
   for (auto& [service, scheduler] : schedulers_) {
     const auto* configured = catalog->FindService(service);
     if (configured == nullptr || !configured->engine) continue;
-    scheduler.SetEngines(*configured->engine, view_.replicas().FindReady(service));
+    scheduler.SetEngines(*configured->engine, AdmittedEngines(service));
   }
 }
 
@@ -332,6 +334,10 @@
   }
   StreamScheduler& scheduler = SchedulerFor(request.service);
   if (!request.running_on.empty()) {
+    if (request.has_software_version) {
+      versions_.Record(request.service, request.request_id, request.software_version,
+                       request.running_on, now);
+    }
     const auto ticket = scheduler.Adopt(DemandFromWire(request, now), request.running_on, now);
     session.tickets.insert({request.service, ticket});
     StreamDecision adopted;
@@ -341,14 +347,16 @@
     SendDecision(session, call_id, request.service, adopted);
     return;
   }
-  const StreamDemand demand = DemandFromWire(request, now);
-  if (RefusesPrompt(demand, refusal) || !ChargeQuota(request, refusal)) {
+  StreamDemand demand = DemandFromWire(request, now);
+  if (RefusesPrompt(demand, refusal) || !RequireOrigin(request, demand, refusal) ||
+      !ChargeQuota(request, refusal)) {
     SendReply(session, call_id, refusal);
     return;
   }
   const auto decision = scheduler.Place(demand, now);
   LogDecision(request.request_id, session.member.instance.vm, decision, view_.replicas().version(),
               scheduler.Describe(decision, now));
+  RecordOrigin(request.service, request.request_id, decision);
   if (decision.verdict == StreamVerdict::kQueued) {
     queued_placements_[{request.service, decision.ticket}] = {&session, call_id,
                                                               request.request_id};
@@ -371,6 +379,10 @@
       reply.status = protocol::PlaceStreamStatus::Granted;
       reply.prefill_server = decision.prefill.value_or("");
       reply.decode_server = decision.decode;
+      if (const Replica* decode = view_.replicas().Find(decision.decode)) {
+        reply.has_software_version = true;
+        reply.software_version = decode->software_version;
+      }
       reply.expected_ms = static_cast<std::uint32_t>(absl::ToInt64Milliseconds(decision.expected));
       session.tickets.insert({service, decision.ticket});
       break;
@@ -444,6 +456,7 @@
         if (found == queued_placements_.end()) continue;
         const QueuedPlacement queued = found->second;
         queued_placements_.erase(found);
+        RecordOrigin(service, queued.request_id, decision);
         LogDecision(queued.request_id, queued.session->member.instance.vm, decision,
                     view_.replicas().version(), scheduler.Describe(decision, clock_.Now()));
         SendDecision(*queued.session, queued.call_id, service, decision);
--- a/packages/fleet/src/coordinator_link_placing.cc
+++ b/packages/fleet/src/coordinator_link_placing.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "marigoldquay/core/logger.h"
+#include "marigoldquay/dispatch/stream_versions.h"
 #include "marigoldquay/fleet/coordinator_link.h"
 #include "wire.h"
 
@@ -153,7 +154,7 @@
   if (reply->status == protocol::PlaceStreamStatus::Granted) return AddPlacement(request, *reply);
   PlacementRefusal refusal;
   refusal.over_quota = reply->status == protocol::PlaceStreamStatus::OverQuota;
-  refusal.provisional = refusal.over_quota && reply->provisional;
+  refusal.provisional = reply->provisional;
   refusal.retry_after = absl::Milliseconds(reply->retry_after_ms);
   refusal.reason = reply->reason;
   return refusal;
@@ -172,6 +173,7 @@
   if (!reply.prefill_server.empty()) placement.prefill = reply.prefill_server;
   placement.decode = reply.decode_server;
   placement.expected = absl::Milliseconds(reply.expected_ms);
+  if (reply.has_software_version) placement.software_version = reply.software_version;
   active_placements_[placement.ticket] = {
       request.service, request.demand, placement.decode, SoftwareVersionOf(placement.decode),
       false,           reply.ticket,   session_};
@@ -228,6 +230,10 @@
 
 PlacementOutcome CoordinatorLink::PlaceLocally(const StreamPlacementRequest& request) {
   const absl::Time now = clock_.Now();
+  // Only a coordinator knows the versions of streams that other VMs have begun.
+  if (request.resumes && !request.demand.software_version) {
+    return PlacementRefusal{false, kLocalRetryAfter, kUnknownOriginReason};
+  }
   const auto catalog = view_.catalog();
   const auto* workspace = catalog ? catalog->FindWorkspace(request.workspace) : nullptr;
   if (workspace != nullptr && request.charge > 0) {
--- a/packages/fleet/src/wire.cc
+++ b/packages/fleet/src/wire.cc
@@ -197,6 +197,8 @@
   wire.parts = request.demand.shared_parts;
   wire.has_software_version = request.demand.software_version.has_value();
   wire.software_version = request.demand.software_version.value_or("");
+  wire.is_take_up = request.resumes.has_value();
+  wire.resumes = request.resumes.value_or("");
   return wire;
 }
 
--- a/packages/fleet/tests/wire_test.cc
+++ b/packages/fleet/tests/wire_test.cc
@@ -31,6 +31,17 @@
   }
 }
 
+// Guards against a take-up that reaches the coordinator as a request for a new stream.
+BOOST_AUTO_TEST_CASE(placement_keeps_the_stream_that_it_takes_up) {
+  StreamPlacementRequest request;
+  request.service = "llm";
+  BOOST_TEST(!ToWire(request, kNow).is_take_up);
+  request.resumes = "";
+  BOOST_TEST(ToWire(request, kNow).is_take_up);
+  request.resumes = "r1";
+  BOOST_TEST(ToWire(request, kNow).resumes == "r1");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/packages/protocol/include/marigoldquay/protocol/inner_generated.h
+++ b/packages/protocol/include/marigoldquay/protocol/inner_generated.h
@@ -6200,6 +6200,8 @@
   std::vector<uint64_t> parts{};
   bool has_software_version = false;
   std::string software_version{};
+  bool is_take_up = false;
+  std::string resumes{};
 };
 
 struct PlaceStreamRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -6225,7 +6227,9 @@
     VT_CHARGED_SERVER = 28,
     VT_PARTS = 30,
     VT_HAS_SOFTWARE_VERSION = 32,
-    VT_SOFTWARE_VERSION = 34
+    VT_SOFTWARE_VERSION = 34,
+    VT_IS_TAKE_UP = 36,
+    VT_RESUMES = 38
   };
   const flatbuffers::String *request_id() const {
     return GetPointer<const flatbuffers::String *>(VT_REQUEST_ID);
@@ -6275,6 +6279,12 @@
   const flatbuffers::String *software_version() const {
     return GetPointer<const flatbuffers::String *>(VT_SOFTWARE_VERSION);
   }
+  bool is_take_up() const {
+    return GetField<uint8_t>(VT_IS_TAKE_UP, 0) != 0;
+  }
+  const flatbuffers::String *resumes() const {
+    return GetPointer<const flatbuffers::String *>(VT_RESUMES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_REQUEST_ID) &&
@@ -6303,6 +6313,9 @@
            VerifyField<uint8_t>(verifier, VT_HAS_SOFTWARE_VERSION, 1) &&
            VerifyOffset(verifier, VT_SOFTWARE_VERSION) &&
            verifier.VerifyString(software_version()) &&
+           VerifyField<uint8_t>(verifier, VT_IS_TAKE_UP, 1) &&
+           VerifyOffset(verifier, VT_RESUMES) &&
+           verifier.VerifyString(resumes()) &&
            verifier.EndTable();
   }
   PlaceStreamRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -6362,6 +6375,12 @@
   void add_software_version(flatbuffers::Offset<flatbuffers::String> software_version) {
     fbb_.AddOffset(PlaceStreamRequest::VT_SOFTWARE_VERSION, software_version);
   }
+  void add_is_take_up(bool is_take_up) {
+    fbb_.AddElement<uint8_t>(PlaceStreamRequest::VT_IS_TAKE_UP, static_cast<uint8_t>(is_take_up), 0);
+  }
+  void add_resumes(flatbuffers::Offset<flatbuffers::String> resumes) {
+    fbb_.AddOffset(PlaceStreamRequest::VT_RESUMES, resumes);
+  }
   explicit PlaceStreamRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -6392,11 +6411,14 @@
     flatbuffers::Offset<flatbuffers::String> charged_server = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0,
     bool has_software_version = false,
-    flatbuffers::Offset<flatbuffers::String> software_version = 0) {
+    flatbuffers::Offset<flatbuffers::String> software_version = 0,
+    bool is_take_up = false,
+    flatbuffers::Offset<flatbuffers::String> resumes = 0) {
   PlaceStreamRequestBuilder builder_(_fbb);
   builder_.add_output_tokens(output_tokens);
   builder_.add_prompt_tokens(prompt_tokens);
   builder_.add_charge(charge);
+  builder_.add_resumes(resumes);
   builder_.add_software_version(software_version);
   builder_.add_parts(parts);
   builder_.add_charged_server(charged_server);
@@ -6409,6 +6431,7 @@
   builder_.add_workspace(workspace);
   builder_.add_service(service);
   builder_.add_request_id(request_id);
+  builder_.add_is_take_up(is_take_up);
   builder_.add_has_software_version(has_software_version);
   return builder_.Finish();
 }
@@ -6435,7 +6458,9 @@
     const char *charged_server = nullptr,
     const std::vector<uint64_t> *parts = nullptr,
     bool has_software_version = false,
-    const char *software_version = nullptr) {
+    const char *software_version = nullptr,
+    bool is_take_up = false,
+    const char *resumes = nullptr) {
   auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
@@ -6445,6 +6470,7 @@
   auto charged_server__ = charged_server ? _fbb.CreateString(charged_server) : 0;
   auto parts__ = parts ? _fbb.CreateVector<uint64_t>(*parts) : 0;
   auto software_version__ = software_version ? _fbb.CreateString(software_version) : 0;
+  auto resumes__ = resumes ? _fbb.CreateString(resumes) : 0;
   return marigoldquay::protocol::CreatePlaceStreamRequest(
       _fbb,
       request_id__,
@@ -6462,7 +6488,9 @@
       charged_server__,
       parts__,
       has_software_version,
-      software_version__);
+      software_version__,
+      is_take_up,
+      resumes__);
 }
 
 flatbuffers::Offset<PlaceStreamRequest> CreatePlaceStreamRequest(flatbuffers::FlatBufferBuilder &_fbb, const PlaceStreamRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6481,6 +6509,8 @@
   std::string reason{};
   bool provisional = false;
   int64_t sent_ms = 0;
+  bool has_software_version = false;
+  std::string software_version{};
 };
 
 struct PlaceStreamReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -6499,7 +6529,9 @@
     VT_RETRY_AFTER_MS = 14,
     VT_REASON = 16,
     VT_PROVISIONAL = 18,
-    VT_SENT_MS = 20
+    VT_SENT_MS = 20,
+    VT_HAS_SOFTWARE_VERSION = 22,
+    VT_SOFTWARE_VERSION = 24
   };
   marigoldquay::protocol::PlaceStreamStatus status() const {
     return static_cast<marigoldquay::protocol::PlaceStreamStatus>(GetField<uint8_t>(VT_STATUS, 0));
@@ -6528,6 +6560,12 @@
   int64_t sent_ms() const {
     return GetField<int64_t>(VT_SENT_MS, 0);
   }
+  bool has_software_version() const {
+    return GetField<uint8_t>(VT_HAS_SOFTWARE_VERSION, 0) != 0;
+  }
+  const flatbuffers::String *software_version() const {
+    return GetPointer<const flatbuffers::String *>(VT_SOFTWARE_VERSION);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_STATUS, 1) &&
@@ -6542,6 +6580,9 @@
            verifier.VerifyString(reason()) &&
            VerifyField<uint8_t>(verifier, VT_PROVISIONAL, 1) &&
            VerifyField<int64_t>(verifier, VT_SENT_MS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_SOFTWARE_VERSION, 1) &&
+           VerifyOffset(verifier, VT_SOFTWARE_VERSION) &&
+           verifier.VerifyString(software_version()) &&
            verifier.EndTable();
   }
   PlaceStreamReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -6580,6 +6621,12 @@
   void add_sent_ms(int64_t sent_ms) {
     fbb_.AddElement<int64_t>(PlaceStreamReply::VT_SENT_MS, sent_ms, 0);
   }
+  void add_has_software_version(bool has_software_version) {
+    fbb_.AddElement<uint8_t>(PlaceStreamReply::VT_HAS_SOFTWARE_VERSION, static_cast<uint8_t>(has_software_version), 0);
+  }
+  void add_software_version(flatbuffers::Offset<flatbuffers::String> software_version) {
+    fbb_.AddOffset(PlaceStreamReply::VT_SOFTWARE_VERSION, software_version);
+  }
   explicit PlaceStreamReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -6601,15 +6648,19 @@
     uint32_t retry_after_ms = 0,
     flatbuffers::Offset<flatbuffers::String> reason = 0,
     bool provisional = false,
-    int64_t sent_ms = 0) {
+    int64_t sent_ms = 0,
+    bool has_software_version = false,
+    flatbuffers::Offset<flatbuffers::String> software_version = 0) {
   PlaceStreamReplyBuilder builder_(_fbb);
   builder_.add_sent_ms(sent_ms);
   builder_.add_ticket(ticket);
+  builder_.add_software_version(software_version);
   builder_.add_reason(reason);
   builder_.add_retry_after_ms(retry_after_ms);
   builder_.add_expected_ms(expected_ms);
   builder_.add_decode_server(decode_server);
   builder_.add_prefill_server(prefill_server);
+  builder_.add_has_software_version(has_software_version);
   builder_.add_provisional(provisional);
   builder_.add_status(status);
   return builder_.Finish();
@@ -6630,10 +6681,13 @@
     uint32_t retry_after_ms = 0,
     const char *reason = nullptr,
     bool provisional = false,
-    int64_t sent_ms = 0) {
+    int64_t sent_ms = 0,
+    bool has_software_version = false,
+    const char *software_version = nullptr) {
   auto prefill_server__ = prefill_server ? _fbb.CreateString(prefill_server) : 0;
   auto decode_server__ = decode_server ? _fbb.CreateString(decode_server) : 0;
   auto reason__ = reason ? _fbb.CreateString(reason) : 0;
+  auto software_version__ = software_version ? _fbb.CreateString(software_version) : 0;
   return marigoldquay::protocol::CreatePlaceStreamReply(
       _fbb,
       status,
@@ -6644,7 +6698,9 @@
       retry_after_ms,
       reason__,
       provisional,
-      sent_ms);
+      sent_ms,
+      has_software_version,
+      software_version__);
 }
 
 flatbuffers::Offset<PlaceStreamReply> CreatePlaceStreamReply(flatbuffers::FlatBufferBuilder &_fbb, const PlaceStreamReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -9429,7 +9485,9 @@
       (lhs.charged_server == rhs.charged_server) &&
       (lhs.parts == rhs.parts) &&
       (lhs.has_software_version == rhs.has_software_version) &&
-      (lhs.software_version == rhs.software_version);
+      (lhs.software_version == rhs.software_version) &&
+      (lhs.is_take_up == rhs.is_take_up) &&
+      (lhs.resumes == rhs.resumes);
 }
 
 inline bool operator!=(const PlaceStreamRequestT &lhs, const PlaceStreamRequestT &rhs) {
@@ -9462,6 +9520,8 @@
   { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = _e->Get(_i); } } }
   { auto _e = has_software_version(); _o->has_software_version = _e; }
   { auto _e = software_version(); if (_e) _o->software_version = _e->str(); }
+  { auto _e = is_take_up(); _o->is_take_up = _e; }
+  { auto _e = resumes(); if (_e) _o->resumes = _e->str(); }
 }
 
 inline flatbuffers::Offset<PlaceStreamRequest> PlaceStreamRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceStreamRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -9488,6 +9548,8 @@
   auto _parts = _o->parts.size() ? _fbb.CreateVector(_o->parts) : 0;
   auto _has_software_version = _o->has_software_version;
   auto _software_version = _o->software_version.empty() ? 0 : _fbb.CreateString(_o->software_version);
+  auto _is_take_up = _o->is_take_up;
+  auto _resumes = _o->resumes.empty() ? 0 : _fbb.CreateString(_o->resumes);
   return marigoldquay::protocol::CreatePlaceStreamRequest(
       _fbb,
       _request_id,
@@ -9505,7 +9567,9 @@
       _charged_server,
       _parts,
       _has_software_version,
-      _software_version);
+      _software_version,
+      _is_take_up,
+      _resumes);
 }
 
 
@@ -9519,7 +9583,9 @@
       (lhs.retry_after_ms == rhs.retry_after_ms) &&
       (lhs.reason == rhs.reason) &&
       (lhs.provisional == rhs.provisional) &&
-      (lhs.sent_ms == rhs.sent_ms);
+      (lhs.sent_ms == rhs.sent_ms) &&
+      (lhs.has_software_version == rhs.has_software_version) &&
+      (lhs.software_version == rhs.software_version);
 }
 
 inline bool operator!=(const PlaceStreamReplyT &lhs, const PlaceStreamReplyT &rhs) {
@@ -9545,6 +9611,8 @@
   { auto _e = reason(); if (_e) _o->reason = _e->str(); }
   { auto _e = provisional(); _o->provisional = _e; }
   { auto _e = sent_ms(); _o->sent_ms = _e; }
+  { auto _e = has_software_version(); _o->has_software_version = _e; }
+  { auto _e = software_version(); if (_e) _o->software_version = _e->str(); }
 }
 
 inline flatbuffers::Offset<PlaceStreamReply> PlaceStreamReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceStreamReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -9564,6 +9632,8 @@
   auto _reason = _o->reason.empty() ? 0 : _fbb.CreateString(_o->reason);
   auto _provisional = _o->provisional;
   auto _sent_ms = _o->sent_ms;
+  auto _has_software_version = _o->has_software_version;
+  auto _software_version = _o->software_version.empty() ? 0 : _fbb.CreateString(_o->software_version);
   return marigoldquay::protocol::CreatePlaceStreamReply(
       _fbb,
       _status,
@@ -9574,7 +9644,9 @@
       _retry_after_ms,
       _reason,
       _provisional,
-      _sent_ms);
+      _sent_ms,
+      _has_software_version,
+      _software_version);
 }
 
 
--- a/packages/relay/include/marigoldquay/relay/backend_dialect.h
+++ b/packages/relay/include/marigoldquay/relay/backend_dialect.h
@@ -38,6 +38,9 @@
   std::optional<TokenDemand> tokens;
   /// Id of the last event that the caller received of the stream to be resumed.
   std::optional<std::uint64_t> resume_after;
+  /// Set when the caller takes up a stream that was broken off: the request that brought its first
+  /// event, empty when the caller does not name it.
+  std::optional<RequestId> resumes;
   /// Parts of the prompt that other requests may share, in order.
   std::vector<PromptPartId> shared_parts;
 
--- a/packages/relay/include/marigoldquay/relay/stream_placer.h
+++ b/packages/relay/include/marigoldquay/relay/stream_placer.h
@@ -25,6 +25,9 @@
   WorkspaceId workspace;
   /// Tokens to charge to the quota of the workspace; 0 when they have already been charged.
   TokenCount charge = 0;
+  /// Set when the caller takes up a stream that was broken off: the request that brought its first
+  /// event, empty when the caller does not name it.
+  std::optional<RequestId> resumes;
   StreamDemand demand;
 };
 
@@ -37,6 +40,8 @@
   std::optional<BackendServerId> prefill;
   BackendServerId decode;
   absl::Duration expected;
+  /// Software version of the decode engine for which it was placed; unset when unknown.
+  std::optional<std::string> software_version;
 };
 
 /// Reason why no engines were reserved.
--- a/packages/relay/src/model_relay.cc
+++ b/packages/relay/src/model_relay.cc
@@ -99,6 +99,7 @@
       request.charge = state_.metadata.tokens ? tokens.prompt + tokens.output
                                               : state_.workspace->quota.default_cost;
     }
+    request.resumes = state_.metadata.resumes;
     auto& demand = request.demand;
     demand.request = state_.metadata.id;
     demand.shared_parts = state_.metadata.shared_parts;
@@ -175,10 +176,10 @@
       return Exclude(placement.decode);
     }
     const Replica decode = *listed;
-    if (software_version_ && decode.software_version != *software_version_) {
+    const auto& required = software_version_ ? software_version_ : placement.software_version;
+    if (required && decode.software_version != *required) {
       last_detail_ = absl::StrCat("decode engine ", decode.id, " has software version ",
-                                  decode.software_version, ", and the stream began at version ",
-                                  *software_version_);
+                                  decode.software_version, " instead of ", *required);
       guard.End(StreamEnd::kCancelled);
       return Exclude(decode.id);
     }
