Refuse a take-up of a plain stream while its service lists several versions

Versions that began plain streams are not recorded, so the version of the stream is unknown while servers of several are ready, and the request is refused with 503 before any server gets it. The take-up is not held to a version once only one is left.

--- a/packages/relay/src/plain_relay.cc
+++ b/packages/relay/src/plain_relay.cc
@@ -5,6 +5,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "backend_attempt.h"
+#include "marigoldquay/dispatch/stream_versions.h"
 
 namespace marigoldquay::internal {
 namespace {
@@ -34,6 +35,7 @@
         idempotent_(state.route->kind == RequestKind::kIdempotent) {}
 
   void Run(Yield yield) {
+    if (TakesUpUnknownStream()) return RejectTakeUp(yield);
     for (int i = 0; i < kMaxServersTried; ++i) {
       const absl::Duration quarantine = state_.QuarantineTimeLeft();
       if (quarantine > absl::ZeroDuration()) return RejectAsQuarantined(quarantine, yield);
@@ -202,6 +204,20 @@
     if (!sent) state_.outcome = sent.error().message;
   }
 
+  // Whether the request takes up a stream that servers of one of several software versions may have
+  // begun. Which one is recorded for model services only.
+  bool TakesUpUnknownStream() const {
+    if (state_.route->kind != RequestKind::kStream || !state_.metadata.resumes) return false;
+    const auto ready = state_.context.cluster.replicas().FindReady(state_.service->name);
+    return std::any_of(ready.begin(), ready.end(), [&](const Replica& replica) {
+      return replica.software_version != ready.front().software_version;
+    });
+  }
+
+  void RejectTakeUp(Yield yield) {
+    SendError(state_, kUnavailable, kUnknownOriginReason, kOverloadRetryAfter, yield);
+  }
+
   void RejectAsQuarantined(absl::Duration time_left, Yield yield) {
     if (state_.execution_count > 0) return RejectExhausted(yield);
     SendError(state_, kUnavailable, kQuarantinedReason, time_left, yield);
