Let the stand-in engines name a software version and mark their events with it

The stand-in of a backend server asks for its version at each start, can begin each event of a stream with it, and can end for good or break off its responses. Its entry names the start in Unix milliseconds, as the platform's entries do, instead of a count of starts.

--- a/tests/platform/fake_replica.cc
+++ b/tests/platform/fake_replica.cc
@@ -38,6 +38,8 @@
       ledger_(ledger),
       options_(std::move(options)),
       listener_(io, *this, 500),
+      version_(options_.version()),
+      started_at_(absl::Now()),
       phase_(options_.phase) {
   const auto started = listener_.Start("127.0.0.1:0");
   if (!started) ledger_.violations.push_back(started.error().ToString());
@@ -54,13 +56,22 @@
   Crash();
 }
 
-void FakeReplica::Crash() {
+void FakeReplica::BreakResponses() {
+  for (HttpReplyWriter* reply : replies_) reply->Abort();
+}
+
+void FakeReplica::End() {
   listener_.StopAccepting();
   listener_.CloseIdle();
-  for (HttpReplyWriter* reply : replies_) reply->Abort();
+  BreakResponses();
+}
+
+void FakeReplica::Crash() {
+  End();
   SpawnFiber(io_, "restart replica", [this](Yield yield) {
     SleepFor(io_, options_.down_time, yield);
-    ++starts_;
+    version_ = options_.version();
+    started_at_ = absl::Now();
     sequence_ = 0;
     const auto started = listener_.Start(address_);
     if (!started) ledger_.violations.push_back(started.error().ToString());
@@ -72,12 +83,12 @@
   boost::json::object entry{{"service", options_.service},
                             {"address", address},
                             {"zone", options_.availability_zone},
-                            {"version", "v1"},
+                            {"version", version_},
                             {"slots", 8},
                             {"state", state},
                             {"coldLeftMs", 0},
                             {"sequence", ++sequence_},
-                            {"born", starts_}};
+                            {"born", absl::ToUnixMillis(started_at_)}};
   if (!phase_.empty()) entry["phase"] = phase_;
   return boost::json::serialize(entry);
 }
@@ -180,6 +191,7 @@
   fields.set(http::field::content_type, "text/event-stream");
   (void)reply.Begin(200, fields, std::nullopt, yield);
   const std::uint64_t first = ledger_.runs[run].resumed_after.value_or(0) + 1;
+  const std::string text = options_.marks_events ? absl::StrCat(version_, " ", id) : id;
   for (std::uint64_t n = first; n <= static_cast<std::uint64_t>(options_.events); ++n) {
     Pause(io_, options_.event_gap, cancellation, yield);
     if (cancellation.cancelled()) {
@@ -188,7 +200,7 @@
     }
     if (IsDeadly(request)) return CrashUnder(request);
     const bool breaks = n == 3 && behavior != ReplicaBehavior::kNormal;
-    const std::string event = StreamEvent(id, n);
+    const std::string event = StreamEvent(text, n);
     (void)reply.Append(breaks ? event.substr(0, event.size() / 2) : event, yield);
     if (breaks) return reply.Abort();
   }
--- a/tests/platform/fake_replica.h
+++ b/tests/platform/fake_replica.h
@@ -109,6 +109,10 @@
   std::string phase;
   /// Called after an order has changed the phase.
   std::function<void()> on_phase = [] {};
+  /// Version of its software, asked at each start.
+  std::function<std::string()> version = [] { return "v1"; };
+  /// Whether each event of a stream begins with the version that made it.
+  bool marks_events = false;
   int events = 6;
   absl::Duration event_gap = absl::Milliseconds(15);
   absl::Duration work = absl::Milliseconds(5);
@@ -141,6 +145,10 @@
   void Stop() { listener_.StopAccepting(); }
   /// Ends all connections and refuses new ones for a while; the start after that is a new one.
   void Crash();
+  /// Ends all connections and refuses new ones from now on.
+  void End();
+  /// Ends the connections on which a response is under way.
+  void BreakResponses();
 
  private:
   void ChangePhase(const HttpRequest& request, HttpReplyWriter& reply, Yield yield);
@@ -162,7 +170,9 @@
   const ReplicaOptions options_;
   HttpListener listener_;
   Address address_;
-  int starts_ = 1;
+  // Version and time of the last start.
+  std::string version_;
+  absl::Time started_at_;
   // Entries since the last start.
   int sequence_ = 0;
   // Responses that are being written.
--- a/tests/platform/world.cc
+++ b/tests/platform/world.cc
@@ -103,6 +103,10 @@
   replica.service = service;
   replica.phase = phase;
   replica.event_gap = options_.event_gap;
+  replica.events = options_.events;
+  replica.version = [this, id] { return options_.software_version(id); };
+  replica.marks_events = options_.marks_events;
+  replica.down_time = options_.server_down_time;
   replica.work = options_.work;
   replica.behavior = [this, id] { return options_.behavior(id); };
   replica.request_limit = [this, id] { return options_.request_limit(id); };
@@ -294,6 +298,14 @@
   Run([&] { replicas_.at(id)->Crash(); });
 }
 
+void World::End(const std::string& id) {
+  Run([&] { replicas_.at(id)->End(); });
+}
+
+void World::BreakResponses(const std::string& id) {
+  Run([&] { replicas_.at(id)->BreakResponses(); });
+}
+
 void World::Unlist(const std::string& id) {
   Run([&] { store_->Put("keyed.servers", id, ""); });
 }
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -38,6 +38,16 @@
   };
   /// Time between two events of a stream.
   absl::Duration event_gap = absl::Milliseconds(15);
+  /// Events of a stream.
+  int events = 6;
+  /// Software version of the backend server with this id, asked at each of its starts.
+  std::function<std::string(const std::string& id)> software_version = [](const std::string&) {
+    return std::string("v1");
+  };
+  /// Whether each event of a stream begins with the software version that made it.
+  bool marks_events = false;
+  /// Time until a backend server that crashed listens again.
+  absl::Duration server_down_time = absl::Seconds(2);
   /// Time that a plain server works on a request.
   absl::Duration work = absl::Milliseconds(5);
   /// Part of a prompt under which engines crash; empty for none.
@@ -121,6 +131,10 @@
   void CrashAndRestart(const std::string& id);
   /// Ends a backend server without notice.
   void Crash(const std::string& id);
+  /// Ends a backend server and its connections without notice.
+  void End(const std::string& id);
+  /// Ends the connections of a backend server on which a response is under way.
+  void BreakResponses(const std::string& id);
   /// Removes its entry from the list.
   void Unlist(const std::string& id);
 
