--- a/tests/platform/platform_versions_test.cc
+++ b/tests/platform/platform_versions_test.cc
@@ -91,6 +91,17 @@
     for (const auto& engine : engines) world.End(engine);
   }
 
+  /// Attempts that ran at an engine though their callers were told that they had not.
+  std::size_t FalseRefusals(const StreamCallers& group) {
+    std::set<std::string> run;
+    for (const auto& seen : world.Seen().runs) run.insert(seen.request_id);
+    std::size_t count = 0;
+    for (const auto& stream : group.streams()) {
+      for (const auto& attempt : stream.refused_attempts) count += run.count(attempt);
+    }
+    return count;
+  }
+
   std::size_t BrokenOff() const {
     return callers.Count(
         [](const CallerStream& stream) { return stream.began() && !stream.complete; });
@@ -117,8 +128,9 @@
 }
 bool IsRefused(const CallerStream& stream) { return IsTakenUp(stream) && stream.refused(); }
 
-// No stream holds events of two versions, or looks complete without being so.
-void CheckSound(const StreamCallers& callers) {
+// No stream holds events of two versions, or looks complete without being so, and no refusal is
+// untrue.
+void CheckSound(Deployment& deployment, const StreamCallers& callers) {
   const std::size_t taken_up = callers.Count(IsTakenUp);
   BOOST_TEST_MESSAGE(callers.streams().size()
                      << " streams, " << taken_up << " taken up: " << callers.Count(WentOn)
@@ -126,6 +138,7 @@
                      << " joined from two versions");
   BOOST_TEST(callers.joined() == 0U);
   BOOST_TEST(callers.damaged() == 0U);
+  BOOST_TEST(deployment.FalseRefusals(callers) == 0U);
 }
 
 // Each take-up goes on or is told that it has not run.
@@ -158,7 +171,7 @@
     return stream.complete && interrupted.contains(stream.first_attempt);
   });
   BOOST_TEST_MESSAGE(interrupted.size() << " interrupted, " << went_on << " of them complete");
-  CheckSound(two.callers);
+  CheckSound(two, two.callers);
   BOOST_TEST(!interrupted.empty());
   BOOST_TEST(2 * went_on >= interrupted.size());
 }
@@ -182,7 +195,7 @@
   const auto stays_open = [&](const CallerStream& stream) {
     return is_of_version(stream) && stream.timed_out;
   };
-  CheckSound(two.callers);
+  CheckSound(two, two.callers);
   BOOST_TEST(two.callers.Count(is_of_version) >= kFewestStreams);
   BOOST_TEST(two.callers.Count(looks_complete) == 0U);
   BOOST_TEST(two.callers.Count(stays_open) == 0U);
@@ -199,7 +212,7 @@
   two.callers.Join();
   two.callers.TakeUp({1, 2});
   two.callers.Join();
-  CheckSound(two.callers);
+  CheckSound(two, two.callers);
   CheckAnswersAreTrue(two.callers);
   CheckHalfGoesOn(two.callers);
 }
@@ -214,7 +227,7 @@
   two.StartAll();
   two.callers.TakeUp({0, 1});
   two.callers.Join();
-  CheckSound(two.callers);
+  CheckSound(two, two.callers);
   CheckAnswersAreTrue(two.callers);
   CheckHalfGoesOn(two.callers);
 }
@@ -232,7 +245,7 @@
   two.StartAll();
   two.callers.TakeUp({0, 1});
   two.callers.Join();
-  CheckSound(two.callers);
+  CheckSound(two, two.callers);
 }
 
 // Guards against a version that is guessed when the store does not answer, or has come back without
@@ -255,8 +268,8 @@
   two.world.RestoreStore(copied_at, absl::ZeroDuration());
   others.TakeUp({1, 0});
   others.Join();
-  CheckSound(two.callers);
-  CheckSound(others);
+  CheckSound(two, two.callers);
+  CheckSound(two, others);
 }
 
 // Guards against VMs that start with a store from before the second version came, and take the
@@ -281,7 +294,7 @@
   two.StartAll();
   two.callers.TakeUp({0, 1});
   two.callers.Join();
-  CheckSound(two.callers);
+  CheckSound(two, two.callers);
 }
 
 // Guards against a version that is kept by the id of the engine, which starts again under its id at
@@ -296,7 +309,7 @@
   two.callers.Join();
   two.callers.TakeUp({1, 0});
   two.callers.Join();
-  CheckSound(two.callers);
+  CheckSound(two, two.callers);
   CheckAnswersAreTrue(two.callers);
   CheckHalfGoesOn(two.callers);
 }
@@ -314,7 +327,7 @@
   two.StartAll();
   two.callers.TakeUp({0, 1});
   two.callers.Join();
-  CheckSound(two.callers);
+  CheckSound(two, two.callers);
   CheckAnswersAreTrue(two.callers);
 }
 
@@ -332,7 +345,7 @@
   two.callers.Join();
   two.callers.TakeUp({0, 1});
   two.callers.Join();
-  CheckSound(two.callers);
+  CheckSound(two, two.callers);
   CheckAnswersAreTrue(two.callers);
   CheckHalfGoesOn(two.callers);
 }
@@ -348,7 +361,7 @@
   BOOST_TEST(two.BrokenOff() >= kFewestStreams);
   two.callers.TakeUp({1, 0}, TakeUpHeaders::kOnlyLastEvent);
   two.callers.Join();
-  CheckSound(two.callers);
+  CheckSound(two, two.callers);
 }
 
 // Guards against take-ups that are refused though the service has never had a second version.
@@ -366,7 +379,7 @@
   one.StartAll();
   one.callers.TakeUp({0, 1});
   one.callers.Join();
-  CheckSound(one.callers);
+  CheckSound(one, one.callers);
   BOOST_TEST(one.callers.Count(WentOn) == one.callers.Count(IsTakenUp));
   BOOST_TEST(one.BrokenOff() == 0U);
 }
--- a/tests/platform/stream_callers.cc
+++ b/tests/platform/stream_callers.cc
@@ -69,6 +69,7 @@
   const ClientResponse response = world_.Call(vm, call);
   const std::scoped_lock lock(mutex_);
   stream.status = response.status;
+  if (stream.refused()) stream.refused_attempts.push_back(call.id);
   stream.complete = response.status == 200 && response.complete();
   stream.timed_out = !response.error.empty() && response.duration >= kCallerTime;
   return PauseThatIsAskedFor(response);
--- a/tests/platform/stream_callers.h
+++ b/tests/platform/stream_callers.h
@@ -21,6 +21,8 @@
   std::string first_attempt;
   /// All attempts, in order.
   std::vector<std::string> attempts;
+  /// Attempts that were answered 503, which promises that they have not run.
+  std::vector<std::string> refused_attempts;
   /// Software version that made each event.
   std::vector<std::string> versions;
   /// Number of events before the newest attempt that was answered or refused.
