--- a/tests/platform/fake_replica.cc
+++ b/tests/platform/fake_replica.cc
@@ -225,12 +225,13 @@
     return;
   }
   if (request.target() == "/order") return ChangePhase(request, reply, yield);
+  const bool prefill = Field(request, "Stage") == "prefill";
   ReplicaArrival arrival{
-      options_.id, id, absl::Now(), std::nullopt, Field(request, "Prompt-Prefix"), request.body()};
+      options_.id,    id,     absl::Now(), std::nullopt, Field(request, "Prompt-Prefix"),
+      request.body(), prefill};
   double limit = 0;
   if (absl::SimpleAtod(options_.request_limit(), &limit)) arrival.limit = limit;
   ledger_.arrivals.push_back(arrival);
-  const bool prefill = Field(request, "Stage") == "prefill";
   if (!phase_.empty() && prefill != (phase_ == "prefill")) {
     (void)reply.SendReply(421, not_run, "", yield);
     return;
--- a/tests/platform/fake_replica.h
+++ b/tests/platform/fake_replica.h
@@ -69,6 +69,8 @@
   /// Parts of the prompt, as the request named them.
   std::string parts;
   std::string body;
+  /// Whether only the prompt was to be read.
+  bool prefill = false;
 };
 
 /// End of a server under a request that it was about to answer.
--- a/tests/platform/world.cc
+++ b/tests/platform/world.cc
@@ -170,6 +170,7 @@
                        {"burst", options_.rate}});
   }
   config["tenants"] = std::move(tenants);
+  options_.configuration(config);
   if (change) change(config);
   return boost::json::serialize(config);
 }
@@ -205,6 +206,7 @@
         {"budgetBurst", 52},
         {"budgetWindowS", 10}}},
       {"platform", {{"address", store_address}, {"ttlMinMs", 1000}, {"parts", 12}}}};
+  options_.bounds(settings["bounds"].as_object());
   std::ofstream(SettingsPath(index)) << boost::json::serialize(settings);
   // Another build of the daemon can be tried with the same tests.
   const char* other_daemon = std::getenv("MARIGOLDQUAY_DAEMON");
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -55,6 +55,10 @@
   /// Body of requests under which servers crash; empty for none.
   std::string deadly_body;
   bool with_configuration = true;
+  /// Alters every configuration before it is written, the first one too.
+  std::function<void(boost::json::object&)> configuration = [](boost::json::object&) {};
+  /// Alters the bounds of the rules in the settings of every VM.
+  std::function<void(boost::json::object&)> bounds = [](boost::json::object&) {};
   /// Share of a core that the VM has.
   std::function<double(int vm)> cpu_share = [](int) { return 0.25; };
   /// Descriptors that the VM has.
