--- a/tests/platform/broken_off_responses_test.cc
+++ b/tests/platform/broken_off_responses_test.cc
@@ -157,7 +157,8 @@
         budgets_(RetryBudgetLimits{}),
         handler_({io_, clock_, view_, dialect_, connections_, health_, balancer_, budgets_, placer_,
                   crash_guard_, quota_, [] { return std::size_t{1}; },
-                  [](const BackendServerId&) {}, [](const StatedRequestLimit&) {}}),
+                  [this] { return clock_.Now(); }, [](const BackendServerId&) {},
+                  [](const StatedRequestLimit&) {}}),
         listener_(io_, handler_, 100) {
     CatalogContents contents;
     contents.version = 1;
