Read the versions of streams also at a coordinator that is about to hand over

After connections were reset, VMs reported for about a second to a VM that still followed another coordinator and therefore had not read the store's records of software versions. Such a VM now reads and writes the records as well, which also saves the last streams that a VM places before it hands over. Records of several writers are ordered or count as unknown already.

--- a/apps/marigoldquayd/platform_node.cc
+++ b/apps/marigoldquayd/platform_node.cc
@@ -209,7 +209,7 @@
         quarantine_keeper_(io_, clock_, store_, coordinator_,
                            [this] { return link_.FeedsOthers(); }),
         stream_version_keeper_(io_, clock_, store_, coordinator_,
-                               {self_.instance.ToString(), [this] { return link_.FeedsOthers(); },
+                               {self_.instance.ToString(), [this] { return PlacesStreams(); },
                                 [this] { return settings_.bootstrap; }}),
         catalog_follower_(io_, clock_, store_, view_, link_, [this] { OnCatalogChange(); }),
         replica_follower_(io_, clock_, store_, view_, link_, [this] { OnReplicaChange(); }),
@@ -291,6 +291,9 @@
 
   bool NeedsMembers() const { return link_.NeedsMemberList() || coordinator_.sessions() > 0; }
 
+  // Also while VMs report here that are about to go back to another coordinator.
+  bool PlacesStreams() const { return link_.FeedsOthers() || coordinator_.sessions() > 0; }
+
   // When this VM itself last read both the configuration and the list of servers.
   DataOrigin OwnOrigin() const {
     return std::min(catalog_follower_.origin(), replica_follower_.origin());
--- a/packages/fleet/include/marigoldquay/fleet/stream_version_keeper.h
+++ b/packages/fleet/include/marigoldquay/fleet/stream_version_keeper.h
@@ -21,8 +21,9 @@
   struct Options {
     /// Name under which this VM writes.
     std::string writer;
-    /// Whether this VM is the coordinator; others neither read nor write.
-    std::function<bool()> coordinates;
+    /// Whether this VM places streams of other VMs; others neither read nor write. Several VMs may
+    /// do so for a moment.
+    std::function<bool()> places_streams;
     /// Whether the whole system starts for the first time.
     std::function<bool()> bootstrap;
   };
--- a/packages/fleet/src/stream_version_keeper.cc
+++ b/packages/fleet/src/stream_version_keeper.cc
@@ -149,7 +149,7 @@
         .gauge("marigoldquay_fleet_stream_versions", "Streams whose software version is known.")
         .Set(static_cast<std::int64_t>(versions.stream_count()));
     bool succeeded = true;
-    if (options_.coordinates()) {
+    if (options_.places_streams()) {
       succeeded = Synchronize(yield);
     } else {
       versions.Unload();
