Count VMs that the machine holds for a second as faulted in the fleet trial

On a busy machine a VM got no time slice for seconds, and a turn that began late was shorter than the others or was left out, so that the trial called late what had not run.

--- a/tests/platform/large_fleet.cc
+++ b/tests/platform/large_fleet.cc
@@ -213,6 +213,11 @@
   }
 }
 
+void FaultLog::Add(int vm, absl::Time from, absl::Time to) {
+  const std::lock_guard lock(mutex_);
+  faults_.push_back({vm, from, to});
+}
+
 bool FaultLog::Touches(int vm, absl::Time from, absl::Time to, absl::Duration contact) const {
   const std::lock_guard lock(mutex_);
   return std::any_of(faults_.begin(), faults_.end(), [&](const Fault& fault) {
--- a/tests/platform/large_fleet.h
+++ b/tests/platform/large_fleet.h
@@ -63,6 +63,8 @@
  public:
   void Begin(int vm);
   void End(int vm);
+  /// A fault that is over.
+  void Add(int vm, absl::Time from, absl::Time to);
   /// Whether a fault touched the VM between `from` minus `contact` and `to`.
   bool Touches(int vm, absl::Time from, absl::Time to, absl::Duration contact) const;
   std::size_t size() const;
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -54,6 +54,8 @@
   std::string deadly_part;
   /// Body of requests under which servers crash; empty for none.
   std::string deadly_body;
+  /// Connections that the store accepts.
+  std::size_t store_connections = 500;
   bool with_configuration = true;
   /// Alters every configuration before it is written, the first one too.
   std::function<void(boost::json::object&)> configuration = [](boost::json::object&) {};
