Give records of topics without keys back as they were written

The stand-in store put the length of a key before each record that it was read from, so that the records of software versions could not be read: take_up_after_all_vms_lost_power let 0 of 24 streams go on, "stream_version_skipped ... syntax error".

--- a/tests/platform/fake_store.cc
+++ b/tests/platform/fake_store.cc
@@ -120,10 +120,12 @@
     Send(reply, 410, absl::StrCat(R"({"first":)", read.first, "}"), yield);
     return;
   }
+  const bool keyed = absl::StartsWith(topic, "keyed.");
   std::string body = Bytes(read.records.size(), 8) + Bytes(read.first, 8);
   for (std::size_t i = from; i < read.records.size(); ++i) {
     const auto& record = read.records[i];
-    const std::string content = absl::StrCat(Bytes(record.key.size(), 1), record.key, record.value);
+    const std::string key = keyed ? absl::StrCat(Bytes(record.key.size(), 1), record.key) : "";
+    const std::string content = absl::StrCat(key, record.value);
     absl::StrAppend(&body, Bytes(content.size(), 4), content);
   }
   Send(reply, 200, body, yield);
