Check the software version of a server again just before a request goes out

What callers could get: events of two versions, when an engine started again under its id at another version while the prompt was processed; found in review. The list was compared by id and address only.

--- a/packages/relay/src/request_state.cc
+++ b/packages/relay/src/request_state.cc
@@ -107,7 +107,8 @@
 
 bool MayReceiveRequests(const FrontContext& context, const Replica& server) {
   const Replica* listed = context.cluster.replicas().Find(server.id);
-  return listed != nullptr && !listed->draining && listed->address == server.address;
+  return listed != nullptr && !listed->draining && listed->address == server.address &&
+         listed->software_version == server.software_version;
 }
 
 bool HasCrashed(const FrontContext& context, const Address& server, Yield yield) {
--- a/packages/relay/tests/front_fixture.h
+++ b/packages/relay/tests/front_fixture.h
@@ -14,13 +14,15 @@
 
 namespace marigoldquay::testing {
 
-/// Reads the key from the field "Key" and marks prefills with "Stage".
+/// Reads the key from the field "Key" and the stream to take up from "Resumes", and marks prefills
+/// with "Stage".
 class PlainDialect final : public BackendDialect {
  public:
   ErrorOr<RequestMetadata> DecodeRequestMetadata(const HttpRequest& request) const override {
     RequestMetadata metadata;
     metadata.id = "r1";
     metadata.key = std::string(ToAbsl(request["Key"]));
+    if (request.count("Resumes") > 0) metadata.resumes = std::string(ToAbsl(request["Resumes"]));
     return metadata;
   }
   ForwardedRequest MakeBackendRequest(const HttpRequest& request,
@@ -184,6 +186,7 @@
     contents.requires_keys = true;
     contents.services = {{"desk", 0, std::nullopt}, {"model", 0, EngineProfile{}}};
     contents.routes = {MakeRoute("/plain/", RequestKind::kIdempotent, "desk"),
+                       MakeRoute("/plain-stream/", RequestKind::kStream, "desk"),
                        MakeRoute("/model/", RequestKind::kStream, "model")};
     contents.workspaces = {{"w1", {"key-1"}, std::nullopt, {}}};
     view.Apply(contents);
@@ -202,6 +205,7 @@
       HttpRequest request(http::verb::post, path, 11, "body");
       request.set(http::field::host, "shop.example");
       request.set("Key", key);
+      if (resumes) request.set("Resumes", *resumes);
       Cancellation cancellation;
       asio::post(io, meanwhile);
       front.Handle(request, reply, cancellation, yield);
@@ -218,6 +222,13 @@
     contents.workspaces.push_back({"w2", {"key-2"}, std::nullopt, {}});
     view.Apply(contents);
   }
+  /// Lists the server as started again at another software version.
+  void StartAgainAt(const std::string& id, const std::string& version) {
+    Replica replica = *view.replicas().Find(id);
+    ++replica.started_unix_ms;
+    replica.software_version = version;
+    view.replicas().Upsert(replica);
+  }
   int RequestsAt(const std::string& id) const { return servers.at(id)->requests(); }
 
   asio::io_context io;
@@ -225,6 +236,8 @@
   ClusterView view;
   CatalogContents contents;
   absl::Time catalog_confirmed_at = clock.Now();
+  // Named by the requests of Call.
+  std::optional<RequestId> resumes;
   ScriptedPlacer placer;
   std::map<std::string, std::unique_ptr<AnsweringServer>> servers;
 
