Do not keep a version for a stream that may have begun at another one

The late grant had been recorded and stayed. The record is withdrawn when the grant is cancelled, or its session ends, before the first event. - The store held the first record of a request whose second placement was at another version. Such a request is placed again at the version of its record while an engine of it is listed. - A configuration with a shorter timeout made records expire early. The time never shrinks.

Take-ups were also refused for as long as the store could not be read after a change of coordinator, with a single version all the time. A version that this VM has seen alone for the recall time is known before the records are read.

--- a/packages/dispatch/include/marigoldquay/dispatch/stream_scheduler.h
+++ b/packages/dispatch/include/marigoldquay/dispatch/stream_scheduler.h
@@ -133,6 +133,9 @@
   void VisitBegun(std::uint64_t ticket, absl::Time before,
                   const std::function<void(const StreamDemand&, absl::Time)>& visit) const;
 
+  /// The request of a ticket that was granted here and has sent no event; nullopt for others.
+  std::optional<RequestId> RequestWithoutEvents(std::uint64_t ticket) const;
+
   std::size_t waiting() const { return waiting_.size(); }
   std::size_t running() const { return placed_.size(); }
   /// Tokens reserved at the engine; 0 for an unknown engine.
--- a/packages/dispatch/include/marigoldquay/dispatch/stream_versions.h
+++ b/packages/dispatch/include/marigoldquay/dispatch/stream_versions.h
@@ -7,6 +7,7 @@
 #ifndef MARIGOLDQUAY_DISPATCH_STREAM_VERSIONS_H_
 #define MARIGOLDQUAY_DISPATCH_STREAM_VERSIONS_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -86,9 +87,11 @@
   /// Longest time for which new streams avoid a version that the store's history lacks.
   static constexpr absl::Duration kMaxGateTime = absl::Seconds(1);
 
-  /// Sets the time in which callers may come back to a stream of the service.
+  /// Sets the time in which callers may come back to a stream of the service. It never shrinks, as
+  /// streams that began before may still be taken up.
   void SetRecallTime(const std::string& service, absl::Duration recall) {
-    services_[service].recall = recall;
+    const auto [entry, is_new] = services_.try_emplace(service);
+    entry->second.recall = is_new ? recall : std::max(entry->second.recall, recall);
   }
   /// Sets the engines that may begin streams. An empty list changes nothing, since the entries of
   /// all servers may have lapsed. An engine that has another version since its last start makes the
@@ -99,6 +102,14 @@
   void Record(const std::string& service, const RequestId& request, const SoftwareVersion& version,
               const BackendServerId& engine, absl::Time now);
 
+  /// The reservation was not used, or it is not known whether: the version of the request becomes
+  /// unknown.
+  void Withdraw(const std::string& service, const RequestId& request);
+  /// Version at which a request that was placed before has to be placed again, as the store may
+  /// hold its first record only; unset when there is none, or when no engine of it is listed.
+  std::optional<SoftwareVersion> VersionToKeep(const std::string& service,
+                                               const RequestId& request) const;
+
   /// The version that began the stream. `request` brought its first event; empty when the caller
   /// does not name it.
   VersionResolution Resolve(const std::string& service, const RequestId& request,
--- a/packages/dispatch/src/stream_scheduler.cc
+++ b/packages/dispatch/src/stream_scheduler.cc
@@ -376,4 +376,12 @@
   }
 }
 
+std::optional<RequestId> StreamScheduler::RequestWithoutEvents(std::uint64_t ticket) const {
+  const auto found = placed_.find(ticket);
+  if (found == placed_.end()) return std::nullopt;
+  const PlacedStream& placed = found->second;
+  if (placed.started || placed.adopted) return std::nullopt;
+  return placed.demand.request;
+}
+
 }  // namespace marigoldquay
--- a/packages/dispatch/src/stream_versions.cc
+++ b/packages/dispatch/src/stream_versions.cc
@@ -64,6 +64,28 @@
   if (known.unsaved.size() > kMaxRecords) known.unsaved.pop_front();
 }
 
+void StreamVersions::Withdraw(const std::string& service, const RequestId& request) {
+  Service& known = services_[service];
+  const StreamKey stream = StreamKeyOf(request);
+  const auto found = known.streams.find(stream);
+  if (found == known.streams.end()) return;
+  found->second.version.reset();
+  found->second.writer.clear();
+  known.unsaved.push_back(stream);
+  if (known.unsaved.size() > kMaxRecords) known.unsaved.pop_front();
+}
+
+std::optional<SoftwareVersion> StreamVersions::VersionToKeep(const std::string& service,
+                                                             const RequestId& request) const {
+  const auto found = services_.find(service);
+  if (found == services_.end()) return std::nullopt;
+  const Service& known = found->second;
+  const auto stream = known.streams.find(StreamKeyOf(request));
+  if (stream == known.streams.end() || !stream->second.version) return std::nullopt;
+  const bool is_listed = known.versions.contains(*stream->second.version);
+  return is_listed ? stream->second.version : std::nullopt;
+}
+
 void StreamVersions::MarkUnknown(Service& service, const BackendServerId& engine) {
   for (auto& [stream, entry] : service.streams) {
     if (entry.engine != engine || !entry.version) continue;
@@ -90,9 +112,9 @@
     return version ? VersionResolution{Verdict::kKnown, *version}
                    : VersionResolution{Verdict::kUnknown, ""};
   }
-  if (!loaded_) return {Verdict::kNotYet, ""};
-  if (!HasSoleVersion(known, now)) return {Verdict::kUnknown, ""};
-  return {Verdict::kKnown, *known.versions.begin()};
+  // Also before the store's records were read, when this VM has seen one version for long enough.
+  if (HasSoleVersion(known, now)) return {Verdict::kKnown, *known.versions.begin()};
+  return {loaded_ ? Verdict::kUnknown : Verdict::kNotYet, ""};
 }
 
 bool StreamVersions::MayBegin(const std::string& service, const SoftwareVersion& version,
--- a/packages/dispatch/tests/stream_versions_test.cc
+++ b/packages/dispatch/tests/stream_versions_test.cc
@@ -127,6 +127,51 @@
   BOOST_TEST(Resolve("r", kStart + absl::Seconds(1)) == "2");
 }
 
+// Guards against a first record in the store that names another version than the one that ran, when
+// all VMs stop before the second one is there.
+BOOST_AUTO_TEST_CASE(request_is_placed_again_at_the_version_of_its_record) {
+  StartWith(kMixed, true);
+  BOOST_TEST(!versions.VersionToKeep(kService, "r").has_value());
+  Record("r", "1", kStart);
+  BOOST_TEST(versions.VersionToKeep(kService, "r").value_or("") == "1");
+  // No engine could take it.
+  List(kNew, kStart + absl::Seconds(1));
+  BOOST_TEST(!versions.VersionToKeep(kService, "r").has_value());
+}
+
+// Guards against a record of a grant that its VM did not use, since it came late: the stream may
+// run at another version.
+BOOST_AUTO_TEST_CASE(withdrawn_record_is_unknown_here_and_in_the_store) {
+  StartWith(kMixed, true);
+  Record("r", "1", kStart);
+  StreamVersions next;
+  next.SetRecallTime(kService, kRecall);
+  SaveOriginsTo(next, "first", kStart);
+  versions.Withdraw(kService, "r");
+  versions.Withdraw(kService, "other");
+  BOOST_TEST(Resolve("r", kStart) == "unknown");
+  SaveOriginsTo(next, "first", kStart);
+  BOOST_TEST((next.Resolve(kService, "r", kStart).verdict == Verdict::kUnknown));
+}
+
+// Guards against take-ups that are refused while the store cannot be read, though this VM has seen
+// one version only for longer than callers come back.
+BOOST_AUTO_TEST_CASE(version_that_was_seen_alone_for_the_recall_time_is_known_before_loading) {
+  List(kOld, kStart);
+  BOOST_TEST(Resolve("any", kStart + kRecall - absl::Seconds(1)) == "not yet");
+  BOOST_TEST(Resolve("any", kStart + kRecall) == "1");
+  List(kMixed, kStart + kRecall);
+  BOOST_TEST(Resolve("any", kStart + kRecall) == "not yet");
+}
+
+// Guards against records that expire early when a configuration shortens a timeout.
+BOOST_AUTO_TEST_CASE(recall_time_never_shrinks) {
+  StartWith(kMixed, true);
+  versions.SetRecallTime(kService, kRecall / 2);
+  List(kNew, kStart);
+  BOOST_TEST(Resolve("any", kStart + kRecall - absl::Seconds(1)) == "unknown");
+}
+
 // Guards against an entry that is older than the server which answers: the id has started again at
 // another version.
 BOOST_AUTO_TEST_CASE(streams_of_an_engine_that_starts_again_at_another_version_are_unknown) {
--- a/packages/fleet/include/marigoldquay/fleet/coordinator.h
+++ b/packages/fleet/include/marigoldquay/fleet/coordinator.h
@@ -158,6 +158,8 @@
   // returns false when it is unknown.
   bool RequireOrigin(const protocol::PlaceStreamRequestT& request, StreamDemand& demand,
                      protocol::PlaceStreamReplyT& refusal) const;
+  // The placement ends; forgets its version unless its stream has begun.
+  void WithdrawOrigin(const std::string& service, std::uint64_t ticket);
   void RecordOrigin(const std::string& service, const std::string& request_id,
                     const StreamDecision& decision);
   // Tells `versions_` of the engines and of the time in which callers come back.
--- a/packages/fleet/src/coordinator.cc
+++ b/packages/fleet/src/coordinator.cc
@@ -122,6 +122,7 @@
   // The requests of the VM have ended with it, or it reports them to another coordinator.
   for (const auto& [service, ticket] : session.tickets) {
     queued_placements_.erase({service, ticket});
+    WithdrawOrigin(service, ticket);
     SchedulerFor(service).OnEnd(ticket, StreamEnd::kCancelled, clock_.Now());
   }
   LogFields fields;
@@ -353,6 +354,9 @@
     SendReply(session, call_id, refusal);
     return;
   }
+  if (!demand.software_version) {
+    demand.software_version = versions_.VersionToKeep(request.service, request.request_id);
+  }
   const auto decision = scheduler.Place(demand, now);
   LogDecision(request.request_id, session.member.instance.vm, decision, view_.replicas().version(),
               scheduler.Describe(decision, now));
@@ -430,6 +434,7 @@
       end(StreamEnd::kDone);
       break;
     case protocol::StreamStep::Cancelled:
+      WithdrawOrigin(message.service, message.ticket);
       end(StreamEnd::kCancelled);
       break;
     case protocol::StreamStep::Refused:
--- a/packages/fleet/src/coordinator_versions.cc
+++ b/packages/fleet/src/coordinator_versions.cc
@@ -110,4 +110,10 @@
   versions_.Record(service, request_id, decode->software_version, decode->id, clock_.Now());
 }
 
+// A VM that got the grant too late has placed the request on its own, perhaps at another version.
+void Coordinator::WithdrawOrigin(const std::string& service, std::uint64_t ticket) {
+  const auto request = SchedulerFor(service).RequestWithoutEvents(ticket);
+  if (request) versions_.Withdraw(service, *request);
+}
+
 }  // namespace marigoldquay
--- a/packages/fleet/tests/followers_test.cc
+++ b/packages/fleet/tests/followers_test.cc
@@ -83,6 +83,26 @@
     (void)yield;
     return std::monostate();
   }
+  ErrorOr<KeptVersionHistories> ListVersionHistories(Yield yield) override {
+    (void)yield;
+    return KeptVersionHistories();
+  }
+  ErrorOrVoid KeepVersionHistory(const KeptVersionHistory& history, Yield yield) override {
+    (void)history;
+    (void)yield;
+    return std::monostate();
+  }
+  ErrorOr<KeptStreamOriginsPart> ReadStreamOrigins(const std::optional<StorePosition>& from,
+                                                   Yield yield) override {
+    (void)from;
+    (void)yield;
+    return KeptStreamOriginsPart();
+  }
+  ErrorOrVoid KeepStreamOrigins(const KeptStreamOrigins& origins, Yield yield) override {
+    (void)origins;
+    (void)yield;
+    return std::monostate();
+  }
   ErrorOr<std::vector<std::string>> ListMembers(Yield yield) override {
     (void)yield;
     return std::vector<std::string>();
