--- a/packages/fleet/include/marigoldquay/fleet/member_counter.h
+++ b/packages/fleet/include/marigoldquay/fleet/member_counter.h
@@ -27,8 +27,8 @@
   /// The last session of the VM has ended.
   void OnSessionEnded(const VmId& vm, absl::Time now);
 
-  /// The number of VMs, `listed` in the store, each once, or reporting; 0 while VMs may have started that are
-  /// not in the list yet, which is not `settled` then.
+  /// The number of VMs, `listed` in the store, each once, or reporting; 0 while VMs may have
+  /// started that are not in the list yet, which is not `settled` then.
   std::size_t Count(const std::vector<FleetMember>& listed, bool settled, absl::Time now) const;
 
  private:
--- a/packages/relay/tests/front_fixture.h
+++ b/packages/relay/tests/front_fixture.h
@@ -140,7 +140,7 @@
 };
 
 /// Keeps the response for the test.
-class KeptReply final : public HttpReplyWriter {
+class RecordedReply final : public HttpReplyWriter {
  public:
   ErrorOrVoid SendReply(unsigned status, const HttpFields& fields, std::string body,
                         Yield yield) override {
@@ -196,10 +196,10 @@
   }
 
   /// Handles one request; `meanwhile` runs when the handler waits for the first time.
-  KeptReply Call(
+  RecordedReply Call(
       const std::string& path, const std::string& key = "key-1",
       const std::function<void()>& meanwhile = [] {}) {
-    KeptReply reply;
+    RecordedReply reply;
     bool done = false;
     SpawnFiber(io, "caller", [&](Yield yield) {
       HttpRequest request(http::verb::post, path, 11, "body");
