Move the parts of memory and descriptors out of the daemon's composition

What connections, sessions and requests may hold follows from the settings alone and is now in node_resources; nothing else changes.

--- a/apps/marigoldquayd/platform_node.cc
+++ b/apps/marigoldquayd/platform_node.cc
@@ -30,6 +30,7 @@
 #include "marigoldquay/platform/service_handlers.h"
 #include "marigoldquay/platform/store_client.h"
 #include "marigoldquay/relay/front_handler.h"
+#include "node_resources.h"
 
 namespace marigoldquay {
 namespace {
@@ -68,21 +69,7 @@
 // Part of the bound on a change within which the configuration has to be confirmed for a refusal by
 // it. The rest covers the clock's error and the way of the refusal.
 constexpr double kConfirmedPart = 0.9;
-// Descriptors that the deployment reserves for files.
-constexpr int kReservedDescriptors = 200;
-// Memory that a connection with a request takes, with its stack.
-constexpr std::size_t kConnectionBytes = std::size_t{96} * 1024;
 constexpr std::size_t kOtherListenerConnections = 200;
-// Parts of the VM's memory that the connections of callers and backend servers, and the sessions of
-// VMs, may hold together, beside what each is always granted. Sessions have their own part, so that
-// large requests cannot end them.
-constexpr double kConnectionMemoryPart = 0.3;
-constexpr double kSessionMemoryPart = 0.25;
-// Part of the VM's memory for what each request takes while it is handled, whatever its size: the
-// touched stack of its fiber, buffers of both connections and a chunk of the response. The rest is
-// for idle connections, for what the process knows and for the store's answers.
-constexpr double kRequestMemoryPart = 0.32;
-constexpr std::size_t kRequestBytes = std::size_t{56} * 1024;
 // Larger blocks, e.g. bodies and responses that are kept, are mapped one by one, so that the memory
 // of each returns to the system when it is freed. By default the C library raises this size up to
 // 32 MB.
@@ -98,18 +85,6 @@
   return std::uniform_real_distribution<double>(0.0, 1.0)(generator);
 }
 
-std::size_t MaxConnections(const platform::NodeSettings& settings) {
-  const auto descriptors =
-      static_cast<std::size_t>(std::max(settings.max_descriptors - kReservedDescriptors, 64)) / 3;
-  if (settings.memory_bytes == 0) return descriptors;
-  return std::min(descriptors, std::max<std::size_t>(settings.memory_bytes / kConnectionBytes, 32));
-}
-
-std::size_t PartOfMemory(const platform::NodeSettings& settings, double part) {
-  if (settings.memory_bytes == 0) return MemoryBudget::kUnlimited;
-  return static_cast<std::size_t>(static_cast<double>(settings.memory_bytes) * part);
-}
-
 // The first port for traffic between VMs that no other program uses; other VMs learn which it is.
 int FirstFreePort(const platform::NodeSettings& settings) {
   asio::io_context io;
@@ -127,11 +102,6 @@
   return settings.first_inner_port;
 }
 
-ListenerCapacity CallerCapacity(const platform::NodeSettings& settings) {
-  const std::size_t requests = PartOfMemory(settings, kRequestMemoryPart) / kRequestBytes;
-  return {MaxConnections(settings), std::max<std::size_t>(requests, 16)};
-}
-
 FleetMember MakeSelf(const platform::NodeSettings& settings) {
   FleetMember self;
   self.instance = {settings.vm, RandomId()};
@@ -175,8 +145,8 @@
       : settings_(std::move(settings)),
         settings_path_(std::move(settings_path)),
         signals_(io_, SIGTERM, SIGINT, SIGHUP),
-        memory_(PartOfMemory(settings_, kConnectionMemoryPart)),
-        session_memory_(PartOfMemory(settings_, kSessionMemoryPart)),
+        memory_(ConnectionMemory(settings_)),
+        session_memory_(SessionMemory(settings_)),
         connections_(io_, clock_, memory_),
         store_connections_(io_, clock_),
         store_(store_connections_, settings_.store),
