--- a/packages/fleet/include/marigoldquay/fleet/stream_version_keeper.h
+++ b/packages/fleet/include/marigoldquay/fleet/stream_version_keeper.h
@@ -16,6 +16,8 @@
 
 namespace marigoldquay {
 
+/// Reads the records when this VM begins to place streams of other VMs, and writes them as they
+/// change.
 class StreamVersionKeeper {
  public:
   struct Options {
