Wait for the coordinator that the test of take-ups supposes

What was seen: 0 of 24 take-ups went on in one of three whole runs of the test.

Cause: the case is about a caller that loses its VM while the coordinator lives. VMs that start together had two coordinators in that run; the VM that was killed was one of them and had placed all 24 streams in its last 200 ms, which no record holds.

Change: the case waits until both other VMs report to the largest one.

--- a/tests/platform/platform_versions_test.cc
+++ b/tests/platform/platform_versions_test.cc
@@ -4,7 +4,9 @@
 #include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <fstream>
 #include <set>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -27,8 +29,10 @@
 constexpr std::size_t kFewestStreams = 12;
 // Time for all VMs to read what was written.
 constexpr absl::Duration kRead = absl::Milliseconds(800);
-// Until then a VM counts with ten VMs, and takes a tenth of the retry budget.
+// Until then a VM has no part of the burst of the retry budget.
 constexpr absl::Duration kFleetKnown = absl::Seconds(3);
+// VMs that start together may have two coordinators for some seconds.
+constexpr absl::Duration kCoordinatorTime = absl::Seconds(15);
 // Part of a stream that a second attempt reads before its caller leaves.
 constexpr absl::Duration kSecondAttempt = absl::Milliseconds(600);
 constexpr absl::Duration kServerDownTime = absl::Milliseconds(300);
@@ -69,6 +73,14 @@
     return options;
   }
 
+  /// Whether the VM has had a session with the coordinator.
+  bool HasReportedTo(int vm, const std::string& coordinator) const {
+    std::ostringstream log;
+    log << std::ifstream(world.SettingsPath(vm) + ".out").rdbuf();
+    const std::string session = "\"event\":\"coordinator_session\",\"vm\":\"" + coordinator;
+    return log.str().find(session) != std::string::npos;
+  }
+
   /// Starts the engines again under their ids, at the version that they have now.
   void StartAgain(const std::vector<std::string>& engines) {
     for (const auto& engine : engines) world.CrashAndRestart(engine);
@@ -205,6 +217,9 @@
 // version at the next VM, while the coordinator lives.
 BOOST_AUTO_TEST_CASE(take_up_goes_on_at_the_version_of_the_first_event) {
   Deployment two("take_up", Versions::kTwo, 3);
+  BOOST_TEST_REQUIRE(Eventually(kCoordinatorTime, [&] {
+    return two.HasReportedTo(0, "vm-2/") && two.HasReportedTo(1, "vm-2/");
+  }));
   two.callers.Begin(12, {0, 1});
   BOOST_TEST_REQUIRE(two.callers.AwaitEvents(kFirstEvents));
   two.world.vm(0).Kill();
