--- a/packages/dispatch/include/marigoldquay/dispatch/replica_balancer.h
+++ b/packages/dispatch/include/marigoldquay/dispatch/replica_balancer.h
@@ -22,6 +22,8 @@
   int running = 0;
   int waiting = 0;
   int slots = 1;
+  /// How long work takes on its machine now, as a multiple of the usual time.
+  double work_factor = 1.0;
 
   bool operator==(const ReplicaLoad&) const = default;
 };
