Split the relay of model requests by concern

The time of the first event is a local of the forwarding: before a response it was always "never", so that a lost connection counts as a possible crash there, as before.

--- a/packages/relay/src/model_relay.cc
+++ b/packages/relay/src/model_relay.cc
@@ -1,6 +1,7 @@
-// Relays model requests. A prefill engine processes the prompt, then a decode
-// engine fetches the KV cache and streams the response. Every path ends the
-// placement and frees a KV cache that was not fetched.
+// Relays model requests. A prefill engine processes the prompt (prefill_exchange), then a decode
+// engine fetches the KV cache and streams the response (stream_forwarder). This part asks for
+// engines and decides whether another one may try. Every path ends the placement and frees a KV
+// cache that was not fetched.
 #include <algorithm>
 #include <memory>
 #include <utility>
@@ -8,7 +9,9 @@
 
 #include "absl/strings/str_cat.h"
 #include "backend_attempt.h"
-#include "event_splitter.h"
+#include "placement_guard.h"
+#include "prefill_exchange.h"
+#include "stream_forwarder.h"
 
 namespace marigoldquay::internal {
 namespace {
@@ -16,50 +19,18 @@
 constexpr int kMaxPlacements = 3;
 // Callers disconnect when they have received no event after this multiple of the latency target.
 constexpr double kAbandonmentFactor = 4.0;
-// A prefill is abandoned when it takes longer than its predicted time multiplied by this factor,
-// plus the slack.
-constexpr double kPrefillTimeoutFactor = 3.0;
-constexpr absl::Duration kPrefillTimeoutSlack = absl::Milliseconds(300);
-constexpr absl::Duration kPrefillConnectTimeout = absl::Milliseconds(120);
-constexpr absl::Duration kReleaseTimeout = absl::Milliseconds(500);
-constexpr std::size_t kMaxErrorBytes = std::size_t{64} * 1024;
-// Events hold a few tokens each.
-constexpr std::size_t kMaxEventBytes = std::size_t{256} * 1024;
 constexpr unsigned kTooManyRequests = 429;
 constexpr unsigned kBadGateway = 502;
 constexpr unsigned kUnavailable = 503;
 constexpr absl::Duration kRefusedRetryAfter = absl::Milliseconds(500);
 
-/// Ends a placement exactly once, as cancelled unless End() was called before.
-class PlacementGuard {
- public:
-  PlacementGuard(StreamPlacer& placer, const StreamPlacement& placement)
-      : placer_(placer), placement_(placement) {}
-  ~PlacementGuard() { End(StreamEnd::kCancelled); }
-  PlacementGuard(const PlacementGuard&) = delete;
-  PlacementGuard& operator=(const PlacementGuard&) = delete;
-
-  void End(StreamEnd end) {
-    if (std::exchange(ended_, true)) return;
-    placer_.OnEnd(placement_, end);
-  }
-
- private:
-  StreamPlacer& placer_;
-  const StreamPlacement& placement_;
-  bool ended_ = false;
-};
-
-/// A KV cache held by a prefill engine until the decode engine fetches it.
-struct PendingKvCache {
-  Address engine;
-  PrefillHandle prefill;
-};
-
 class ModelRelay {
  public:
   explicit ModelRelay(RequestState& state)
-      : state_(state), budget_(state.context.budgets.ForService(state.service->name)) {}
+      : state_(state),
+        budget_(state.context.budgets.ForService(state.service->name)),
+        prefills_(state, budget_),
+        forwarder_(state) {}
 
   void Run(Yield yield) {
     StreamPlacementRequest request = MakeRequest();
@@ -153,13 +124,6 @@
     Reject({false, state_.QuarantineTimeLeft(), kQuarantinedReason}, yield);
   }
 
-  // The first prefill that an engine accepts belongs to the first attempt; any other one is a
-  // retry.
-  void CountPrefill(bool accepted) {
-    if (accepted && !std::exchange(prefill_accepted_, true)) return;
-    budget_.OnRetry(state_.Now());
-  }
-
   NextStep Exclude(const BackendServerId& server) {
     excluded_.push_back(server);
     return NextStep::kRetry;
@@ -183,15 +147,15 @@
       guard.End(StreamEnd::kCancelled);
       return Exclude(decode.id);
     }
-    auto cache = placement.prefill ? RunPrefill(placement, yield) : nullptr;
+    auto cache = placement.prefill ? prefills_.Run(placement, yield) : nullptr;
     if (state_.cancellation.cancelled()) {
-      ReleaseCache(std::move(cache));
+      ReleaseKvCache(state_, std::move(cache));
       HandleCancellation(state_, yield);
       return NextStep::kStop;
     }
     // A request like this one may have crashed a server during the prefill.
     if (IsQuarantined()) {
-      ReleaseCache(std::move(cache));
+      ReleaseKvCache(state_, std::move(cache));
       guard.End(StreamEnd::kCancelled);
       return NextStep::kRetry;
     }
@@ -200,111 +164,16 @@
 
   bool IsQuarantined() const { return state_.QuarantineTimeLeft() > absl::ZeroDuration(); }
 
-  // Reports a crash of the engine if it has broken off a response that had just begun or was about
-  // to begin.
-  void ReportCrash(const BackendAttempt& attempt) const {
-    const bool answered = state_.Now() - first_event_at_ >= RequestQuarantine::kProvenAfter;
-    if (attempt.connection_lost() && !answered) CheckForCrash(state_, attempt.replica());
-  }
-
-  // Returns null when the prefill failed; the decode engine then processes the prompt itself.
-  std::unique_ptr<PendingKvCache> RunPrefill(const StreamPlacement& placement, Yield yield) {
-    const Replica* listed = state_.context.cluster.replicas().Find(*placement.prefill);
-    if (listed == nullptr || listed->draining) {
-      state_.context.placer.OnPrefillEnd(placement, false);
-      return nullptr;
-    }
-    const Replica engine = *listed;
-    const absl::Time started = state_.Now();
-    auto result = SendPrefillRequest(engine, placement, yield);
-    if (state_.cancellation.cancelled() && !result) return nullptr;
-    state_.context.placer.OnPrefillEnd(placement, result.ok());
-    LogFields fields;
-    fields.Add("request_id", state_.metadata.id)
-        .Add("engine", engine.id)
-        .Add("expected_ms", placement.expected)
-        .Add("took_ms", state_.Now() - started)
-        .Add("outcome", result ? "read" : result.error().ToString());
-    RelayLog().Event("prefill", fields);
-    if (!result) return nullptr;
-    return std::make_unique<PendingKvCache>(PendingKvCache{engine.address, std::move(*result)});
-  }
-
-  ErrorOr<PrefillHandle> SendPrefillRequest(const Replica& engine, const StreamPlacement& placement,
-                                            Yield yield) {
-    const absl::Duration timeout =
-        placement.expected * kPrefillTimeoutFactor + kPrefillTimeoutSlack;
-    BackendCall call;
-    call.expected_server = engine.id;
-    call.time_left = state_.TimeLeft();
-    call.workspace = state_.workspace_name();
-    call.prefill_only = true;
-    auto& pool = state_.context.connections;
-    auto connection = pool.TakeIdle(engine.address);
-    const bool fresh = connection == nullptr;
-    if (fresh) connection = pool.MakeNew(engine.address);
-    const Cancellation::Hook hook(state_.cancellation, [&] { connection->Close(); });
-    if (fresh) {
-      const auto connected = connection->Connect(kPrefillConnectTimeout, yield);
-      if (!connected) return connected.error();
-    }
-    if (!MayReceiveRequests(state_.context, engine)) {
-      return Error{ErrorCode::kNotSent, "read prompt", engine.address,
-                   "the engine left before the prompt was sent"};
-    }
-    const absl::Time sent_at = state_.Now();
-    CountBackendRequest(engine.id);
-    const auto sent = connection->Send(
-        state_.context.dialect.MakeBackendRequest(state_.request, call), timeout, yield);
-    if (!sent) return sent.error();
-    const auto reply = connection->ReadReply(HttpConnection::kMaxShortReplyBytes, timeout, yield);
-    if (!reply) {
-      CountPrefill(true);
-      if (reply.error().code == ErrorCode::kUnavailable) CheckForCrash(state_, engine);
-      return reply.error();
-    }
-    const auto response = state_.context.dialect.DecodeResponse(reply->status, reply->fields);
-    // A faulty engine may send a refusal once more, to the next request of the connection.
-    const bool reusable = connection->open() && !response.not_executed;
-    CountPrefill(!response.not_executed);
-    if (reusable) pool.Put(std::move(connection), state_.MaxIdleConnections());
-    RecordServerState(state_, engine, response, sent_at);
-    if (!response.request_id.empty() && response.request_id != state_.metadata.id) {
-      return Error{ErrorCode::kProtocol, "read prompt", engine.address,
-                   "response belongs to another request"};
-    }
-    return state_.context.dialect.DecodePrefill(*reply, engine.address);
-  }
-
-  void ReleaseCache(std::unique_ptr<PendingKvCache> cache) {
-    if (!cache) return;
-    const auto& context = state_.context;
-    SpawnFiber(context.io, "release KV cache",
-               [&context, request_id = state_.metadata.id, cache = std::move(cache)](Yield yield) {
-                 const auto request =
-                     context.dialect.MakePrefillRelease(cache->prefill, cache->engine);
-                 const auto reply =
-                     CallHttp(context.connections, cache->engine, request, kReleaseTimeout, yield);
-                 LogFields fields;
-                 fields.Add("request_id", request_id)
-                     .Add("engine", cache->engine)
-                     .Add("outcome", reply ? absl::StrCat("status ", reply->status)
-                                           : reply.error().ToString());
-                 RelayLog().Event("kv_cache_release", fields);
-               });
-  }
-
   NextStep StreamFromDecode(const StreamPlacement& placement, const Replica& decode,
                             std::unique_ptr<PendingKvCache> cache, PlacementGuard& guard,
                             Yield yield) {
     const bool had_cache = cache != nullptr;
     if (state_.send_count > 0 && !budget_.TryAcquire(state_.Now())) {
-      ReleaseCache(std::move(cache));
+      ReleaseKvCache(state_, std::move(cache));
       guard.End(StreamEnd::kCancelled);
       RejectByBudget(yield);
       return NextStep::kStop;
     }
-    first_event_at_ = absl::InfiniteFuture();
     BackendAttempt attempt(state_, decode);
     const AttemptOutcome attempt_outcome =
         attempt.Start(MakeBackendCall(decode, cache.get()), MakeAttemptOptions(), yield);
@@ -312,7 +181,7 @@
     if (attempt.may_have_reached() && state_.send_count++ == 0) {
       budget_.OnFirstAttempt(state_.Now());
     }
-    if (!attempt.may_have_reached()) ReleaseCache(std::move(cache));
+    if (!attempt.may_have_reached()) ReleaseKvCache(state_, std::move(cache));
     switch (attempt_outcome) {
       case AttemptOutcome::kCancelled:
         HandleCancellation(state_, yield);
@@ -323,13 +192,13 @@
       case AttemptOutcome::kUnknown:
         ++state_.execution_count;
         software_version_ = decode.software_version;
-        ReportCrash(attempt);
+        if (attempt.connection_lost()) CheckForCrash(state_, attempt.replica());
         guard.End(StreamEnd::kFailed);
         return HandleInterruption(decode, yield);
       case AttemptOutcome::kResponded:
         ++state_.execution_count;
         software_version_ = decode.software_version;
-        return ForwardResponse(placement, attempt, guard, yield);
+        return ForwardResponse(attempt, guard, yield);
     }
     return NextStep::kStop;
   }
@@ -368,7 +237,8 @@
     call.expected_server = decode.id;
     call.time_left = state_.TimeLeft();
     call.workspace = state_.workspace_name();
-    call.resume_after = events_.last_id() ? events_.last_id() : state_.metadata.resume_after;
+    call.resume_after =
+        forwarder_.last_event_id() ? forwarder_.last_event_id() : state_.metadata.resume_after;
     if (cache != nullptr) {
       call.kv_source = state_.context.dialect.MakeKvSource(cache->engine, cache->prefill);
     }
@@ -398,7 +268,7 @@
   // Handles a stream that was interrupted or a request without a valid response.
   NextStep HandleInterruption(const Replica& decode, Yield yield) {
     if (MayResume(decode)) {
-      events_.DiscardPartial();
+      forwarder_.DiscardPartialEvent();
       return Exclude(decode.id);
     }
     if (state_.reply.started()) {
@@ -411,108 +281,22 @@
     return NextStep::kStop;
   }
 
-  NextStep ForwardResponse(const StreamPlacement& placement, BackendAttempt& attempt,
-                           PlacementGuard& guard, Yield yield) {
-    if (!attempt.response().successful) return ForwardErrorResponse(attempt, guard, yield);
-    if (state_.reply.started() && !attempt.IsEventStream()) {
-      last_detail_ = "the response that was to continue the stream is no event stream";
-      guard.End(StreamEnd::kFailed);
-      return HandleInterruption(attempt.replica(), yield);
-    }
-    if (!state_.reply.started()) {
-      state_.status = attempt.status();
-      // The length of a resumable stream may differ from the one that its first server stated.
-      const auto length = state_.route->resumable ? std::nullopt : attempt.content_length();
-      const auto begun = state_.reply.Begin(
-          attempt.status(), state_.context.dialect.MakeCallerFields(attempt.fields()), length,
-          yield);
-      if (!begun) {
-        HandleCancellation(state_, yield);
-        return NextStep::kStop;
-      }
-    }
-    return ForwardEvents(placement, attempt, guard, yield);
-  }
-
-  NextStep ForwardEvents(const StreamPlacement& placement, BackendAttempt& attempt,
-                         PlacementGuard& guard, Yield yield) {
-    std::string chunk;
-    bool first = true;
-    while (!attempt.done()) {
-      const auto read = attempt.ReadSome(chunk, yield);
-      if (state_.cancellation.cancelled()) {
-        HandleCancellation(state_, yield);
-        return NextStep::kStop;
-      }
-      if (!read) {
-        last_detail_ = attempt.detail();
-        ReportCrash(attempt);
-        guard.End(StreamEnd::kFailed);
-        return HandleInterruption(attempt.replica(), yield);
-      }
-      if (first && !chunk.empty()) {
-        first = false;
-        first_event_at_ = state_.Now();
-        state_.context.placer.OnFirstEvent(placement);
-      }
-      const std::string events = state_.route->resumable ? events_.Append(chunk) : chunk;
-      if (!HasRoomForEvent(attempt)) {
-        last_detail_ = absl::StrCat("event of over ", events_.partial_bytes(), " bytes");
-        guard.End(StreamEnd::kFailed);
-        return HandleInterruption(attempt.replica(), yield);
-      }
-      const auto sent = state_.reply.Append(events, yield);
-      if (!sent) {
-        state_.outcome = sent.error().message;
-        state_.reply.Abort();
-        return NextStep::kStop;
-      }
-    }
-    guard.End(StreamEnd::kDone);
-    state_.context.crash_guard.OnRequestServed(state_.fingerprint);
-    const auto finished = state_.reply.Finish(yield);
-    state_.outcome = finished ? "answered" : finished.error().message;
-    return NextStep::kStop;
-  }
-
-  // Whether the rest of the incomplete event may be kept as well.
-  bool HasRoomForEvent(BackendAttempt& attempt) const {
-    const std::size_t size = events_.partial_bytes();
-    return size <= kMaxEventBytes && attempt.KeepBody(size);
-  }
-
-  NextStep ForwardErrorResponse(BackendAttempt& attempt, PlacementGuard& guard, Yield yield) {
-    std::string body;
-    const auto read = attempt.ReadUpTo(kMaxErrorBytes, body, yield);
-    if (state_.cancellation.cancelled()) {
-      HandleCancellation(state_, yield);
-      return NextStep::kStop;
-    }
-    guard.End(StreamEnd::kFailed);
-    if (!read || !*read || state_.reply.started()) {
-      last_detail_ = absl::StrCat("status ", attempt.status(), " ", attempt.detail());
-      return HandleInterruption(attempt.replica(), yield);
-    }
-    state_.status = attempt.status();
-    state_.outcome = "answered";
-    const auto sent = state_.reply.SendReply(
-        attempt.status(), state_.context.dialect.MakeCallerFields(attempt.fields()),
-        std::move(body), yield);
-    if (!sent) state_.outcome = sent.error().message;
-    return NextStep::kStop;
+  NextStep ForwardResponse(BackendAttempt& attempt, PlacementGuard& guard, Yield yield) {
+    const auto interruption = forwarder_.Forward(attempt, guard, yield);
+    if (!interruption) return NextStep::kStop;
+    last_detail_ = *interruption;
+    return HandleInterruption(attempt.replica(), yield);
   }
 
   RequestState& state_;
   WindowedRetryBudget& budget_;
+  PrefillExchange prefills_;
+  StreamForwarder forwarder_;
   std::vector<BackendServerId> excluded_;
-  EventSplitter events_;
   std::string last_detail_;
-  bool prefill_accepted_ = false;
   // Version of the first engine that may have run the request. Only engines of this version can
   // continue the stream.
   std::optional<std::string> software_version_;
-  // Of the current attempt.
-  absl::Time first_event_at_ = absl::InfiniteFuture();
 };
 
 }  // namespace
