Refund the quota of requests that did not run

Cause: a model request stayed charged to its workspace when it was rejected, given up while it waited or cancelled before it reached an engine, so that a caller that came again paid twice.

Change: the coordinator gives back the charge of a ticket that was never granted; a VM gives back, with its next report, what was granted and ran nowhere.

--- a/packages/dispatch/include/marigoldquay/dispatch/quota_ledger.h
+++ b/packages/dispatch/include/marigoldquay/dispatch/quota_ledger.h
@@ -54,6 +54,9 @@
   bool CanAdmit(const AccountQuota& quota, TokenCount tokens, absl::Time now);
   /// Takes the tokens of requests that another ledger admitted; the level may become negative.
   void Charge(const AccountQuota& quota, TokenCount tokens, absl::Time now);
+  /// Gives back the tokens of a request that was charged and did not run. Afterwards the level is
+  /// the same as if it had never been charged.
+  void Refund(const AccountQuota& quota, TokenCount tokens, absl::Time now);
   /// Caps the initial level of later share increases at `fleet_level`, an upper bound of the level
   /// summed over all ledgers.
   void CapInitialLevel(const AccountQuota& quota, TokenCount fleet_level, absl::Time now);
@@ -79,6 +82,8 @@
 
   // Burst of all ledgers together.
   double WholeBurst(const AccountQuota& quota) const;
+  // Upper bound of the level.
+  double MaxLevel(const AccountQuota& quota, const Bucket& bucket) const;
   // Level that the bucket needs to admit the cost.
   double Need(const AccountQuota& quota, TokenCount tokens) const;
   Bucket& Refill(const AccountQuota& quota, absl::Time now);
--- a/packages/dispatch/src/quota_ledger.cc
+++ b/packages/dispatch/src/quota_ledger.cc
@@ -19,6 +19,10 @@
   return static_cast<double>(quota.burst + (workspace ? tolerance_ : 0));
 }
 
+double QuotaLedger::MaxLevel(const AccountQuota& quota, const Bucket& bucket) const {
+  return std::max(share_ * WholeBurst(quota), bucket.largest_need);
+}
+
 double QuotaLedger::Need(const AccountQuota& quota, TokenCount tokens) const {
   return std::min(static_cast<double>(tokens), WholeBurst(quota));
 }
@@ -35,7 +39,7 @@
   bucket.level += rate * absl::ToDoubleSeconds(elapsed);
   bucket.updated = std::max(bucket.updated, now);
   ApplyShare(bucket);
-  bucket.level = std::min(bucket.level, std::max(share_ * WholeBurst(quota), bucket.largest_need));
+  bucket.level = std::min(bucket.level, MaxLevel(quota, bucket));
   return bucket;
 }
 
@@ -77,6 +81,13 @@
   Refill(quota, now).level -= static_cast<double>(tokens);
 }
 
+void QuotaLedger::Refund(const AccountQuota& quota, TokenCount tokens, absl::Time now) {
+  if (!quota.limited() || tokens <= 0) return;
+  Bucket& bucket = Refill(quota, now);
+  const double level = bucket.level + static_cast<double>(tokens);
+  bucket.level = std::min(level, MaxLevel(quota, bucket));
+}
+
 void QuotaLedger::CapInitialLevel(const AccountQuota& quota, TokenCount fleet_level,
                                   absl::Time now) {
   if (!quota.limited()) return;
--- a/packages/dispatch/tests/quota_ledger_test.cc
+++ b/packages/dispatch/tests/quota_ledger_test.cc
@@ -4,6 +4,7 @@
 #include <rapidcheck.h>
 
 #include <boost/test/unit_test.hpp>
+#include <cstdlib>
 #include <deque>
 #include <vector>
 
@@ -167,6 +168,30 @@
   BOOST_TEST(ledger.Level(workspace, kStart + absl::Seconds(1)) == 800);
 }
 
+// Guards against a caller that pays for requests which did not run, and against a refund that gives
+// a workspace more than it would have had.
+BOOST_AUTO_TEST_CASE(refund_restores_the_level_without_the_charge) {
+  BOOST_TEST(rc::check("a refunded charge leaves no trace", [] {
+    const auto workspace = MakeWorkspace(1000, 1000);
+    QuotaLedger charged;
+    QuotaLedger untouched;
+    absl::Time now = kStart;
+    // A bucket begins with its first use.
+    RC_ASSERT(charged.Level(workspace, now) == untouched.Level(workspace, now));
+    for (int i = 0; i < 20; ++i) {
+      const TokenCount tokens = *rc::gen::inRange(1, 900);
+      const bool refunded = charged.Admit(workspace, tokens, now).admitted;
+      now += absl::Milliseconds(*rc::gen::inRange(0, 2000));
+      if (refunded) charged.Refund(workspace, tokens, now);
+      const TokenCount run = *rc::gen::inRange(1, 300);
+      charged.Charge(workspace, run, now);
+      untouched.Charge(workspace, run, now);
+      // Levels are rounded down.
+      RC_ASSERT(std::abs(charged.Level(workspace, now) - untouched.Level(workspace, now)) <= 1);
+    }
+  }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/packages/fleet/include/marigoldquay/fleet/coordinator.h
+++ b/packages/fleet/include/marigoldquay/fleet/coordinator.h
@@ -123,6 +123,11 @@
     std::uint64_t call_id = 0;
     RequestId request_id;
   };
+  // Tokens that a workspace was charged for a request.
+  struct Charge {
+    WorkspaceId workspace;
+    TokenCount tokens = 0;
+  };
   using TicketKey = std::pair<std::string, std::uint64_t>;
 
   void Accept(Yield yield);
@@ -154,6 +159,14 @@
   // exceed the rate.
   bool ChargeQuota(const protocol::PlaceStreamRequestT& request,
                    protocol::PlaceStreamReplyT& refusal);
+  // Gives the tokens back to the workspace, when the request did not run.
+  void Refund(const Charge& charge);
+  // Keeps the charge of a request that waits or was granted, or gives it back when it was refused.
+  void KeepOrRefund(const TicketKey& key, const Charge& charge, StreamVerdict verdict);
+  // Gives back the charge of a ticket that no engine has been asked for.
+  void RefundTicket(const TicketKey& key);
+  // What the VM has admitted itself, less what it gives back.
+  void SettleSpent(const protocol::FleetReportT& report);
   // Requires the version that began the stream which the request takes up. Fills `refusal` and
   // returns false when it is unknown.
   bool RequireOrigin(const protocol::PlaceStreamRequestT& request, StreamDemand& demand,
@@ -212,6 +225,8 @@
   std::set<Session*> sessions_;
   std::map<std::string, StreamScheduler> schedulers_;
   std::map<TicketKey, QueuedPlacement> queued_placements_;
+  // Charges of the placements that have not ended; at most one for each ticket of a session.
+  std::map<TicketKey, Charge> charges_;
   QuotaLedger quota_{0};
   RequestQuarantine quarantine_;
   StreamVersions versions_;
--- a/packages/fleet/include/marigoldquay/fleet/coordinator_link.h
+++ b/packages/fleet/include/marigoldquay/fleet/coordinator_link.h
@@ -82,6 +82,7 @@
   absl::Duration QuarantineTimeLeft(std::span<const RequestTrait> traits) const override;
   QuotaDecision Admit(const CatalogWorkspace& workspace, TokenCount tokens,
                       Cancellation& cancellation, Yield yield) override;
+  void Refund(const CatalogWorkspace& workspace, TokenCount tokens) override;
   QuotaDecision AdmitRequest(const Replica& server, Cancellation& cancellation,
                              Yield yield) override;
 
@@ -197,6 +198,8 @@
   void OnState(const protocol::FleetStateT& state);
   void OnReply(std::uint64_t call_id, const protocol::PlaceStreamReplyT& reply);
   void SendProgress(const std::string& service, std::uint64_t ticket, protocol::StreamStep step);
+  // Ends a placement whose grant no request has received.
+  void SendWithdrawal(const std::string& service, std::uint64_t ticket);
   void ReportProgress(const StreamPlacement& placement, protocol::StreamStep step);
   // Waits until the call has reply number `index`; nullptr when it has not arrived by `until`.
   const protocol::PlaceStreamReplyT* AwaitReply(Call& call, std::size_t index, absl::Time until,
--- a/packages/fleet/src/coordinator.cc
+++ b/packages/fleet/src/coordinator.cc
@@ -21,9 +21,6 @@
 
 constexpr absl::Duration kAdvanceInterval = absl::Milliseconds(20);
 constexpr absl::Duration kSessionTimeout = absl::Seconds(4);
-// With a smaller quota share, refusals are provisional: VMs that do not report here yet still hold
-// part of the rates.
-constexpr double kMinFullShare = 0.9;
 
 const Logger& Log() {
   static const Logger logger("sched");
@@ -121,7 +118,8 @@
   RemoveMember(session);
   // The requests of the VM have ended with it, or it reports them to another coordinator.
   for (const auto& [service, ticket] : session.tickets) {
-    queued_placements_.erase({service, ticket});
+    if (queued_placements_.erase({service, ticket}) > 0) RefundTicket({service, ticket});
+    charges_.erase({service, ticket});
     WithdrawOrigin(service, ticket);
     SchedulerFor(service).OnEnd(ticket, StreamEnd::kCancelled, clock_.Now());
   }
@@ -213,10 +211,7 @@
   if (report.needs_servers) session.sent_replicas_version = 0;
   for (const auto& server : report.leaving_servers) hooks_.on_leaving_server(server);
   OnCrashReport(report, created_at);
-  for (const auto& entry : report.spent) {
-    const auto quota = FindQuota(view_, AccountFromWire(*entry));
-    if (quota) quota_.Charge(*quota, entry->tokens, now);
-  }
+  SettleSpent(report);
 }
 
 absl::Time Coordinator::EarliestCreation(const protocol::FleetReportT& report) const {
@@ -304,25 +299,6 @@
   }
 }
 
-bool Coordinator::ChargeQuota(const protocol::PlaceStreamRequestT& request,
-                              protocol::PlaceStreamReplyT& refusal) {
-  const bool server = !request.charged_server.empty();
-  const QuotaAccount account =
-      server ? QuotaAccount{QuotaAccount::Kind::kBackendServer, request.charged_server}
-             : QuotaAccount{QuotaAccount::Kind::kWorkspace, request.workspace};
-  const auto quota = FindQuota(view_, account);
-  if (!quota || request.charge <= 0) return true;
-  const auto decision = quota_.Admit(*quota, request.charge, clock_.Now());
-  if (decision.admitted) return true;
-  refusal.status = protocol::PlaceStreamStatus::OverQuota;
-  refusal.reason = server ? "request limit of the backend server reached"
-                          : "rate limit of the workspace exceeded";
-  refusal.provisional = quota_.share() < kMinFullShare;
-  refusal.retry_after_ms =
-      static_cast<std::uint32_t>(absl::ToInt64Milliseconds(decision.retry_after));
-  return false;
-}
-
 void Coordinator::OnPlaceRequest(Session& session, std::uint64_t call_id,
                                  const protocol::PlaceStreamRequestT& request) {
   const absl::Time now = clock_.Now();
@@ -358,6 +334,8 @@
     demand.software_version = versions_.VersionToKeep(request.service, request.request_id);
   }
   const auto decision = scheduler.Place(demand, now);
+  KeepOrRefund({request.service, decision.ticket}, {request.workspace, request.charge},
+               decision.verdict);
   LogDecision(request.request_id, session.member.instance.vm, decision, view_.replicas().version(),
               scheduler.Describe(decision, now));
   RecordOrigin(request.service, request.request_id, decision);
@@ -416,7 +394,10 @@
     const absl::Time proven =
         outcome == StreamEnd::kDone ? now : now - RequestQuarantine::kProvenAfter;
     scheduler.VisitBegun(message.ticket, proven, std::bind_front(&Coordinator::RecordServed, this));
-    queued_placements_.erase({message.service, message.ticket});
+    const TicketKey key{message.service, message.ticket};
+    const bool waited = queued_placements_.erase(key) > 0;
+    if (waited || message.grant_not_received) RefundTicket(key);
+    charges_.erase(key);
     session.tickets.erase({message.service, message.ticket});
     scheduler.OnEnd(message.ticket, outcome, now);
   };
@@ -461,6 +442,7 @@
         if (found == queued_placements_.end()) continue;
         const QueuedPlacement queued = found->second;
         queued_placements_.erase(found);
+        if (decision.verdict == StreamVerdict::kRefused) RefundTicket({service, decision.ticket});
         RecordOrigin(service, queued.request_id, decision);
         LogDecision(queued.request_id, queued.session->member.instance.vm, decision,
                     view_.replicas().version(), scheduler.Describe(decision, clock_.Now()));
--- a/packages/fleet/src/coordinator_link.cc
+++ b/packages/fleet/src/coordinator_link.cc
@@ -382,7 +382,17 @@
   }
   const bool reserved = reply.status == protocol::PlaceStreamStatus::Granted ||
                         reply.status == protocol::PlaceStreamStatus::Queued;
-  if (reserved) SendProgress(detached.service, reply.ticket, protocol::StreamStep::Cancelled);
+  if (reserved) SendWithdrawal(detached.service, reply.ticket);
+}
+
+void CoordinatorLink::SendWithdrawal(const std::string& service, std::uint64_t ticket) {
+  if (!connection_) return;
+  protocol::StreamProgressMessageT message;
+  message.service = service;
+  message.ticket = ticket;
+  message.step = protocol::StreamStep::Cancelled;
+  message.grant_not_received = true;
+  connection_->Send(protocol::MessageType::StreamProgress, 0, message);
 }
 
 void CoordinatorLink::SendProgress(const std::string& service, std::uint64_t ticket,
--- a/packages/fleet/src/coordinator_link_placing.cc
+++ b/packages/fleet/src/coordinator_link_placing.cc
@@ -146,7 +146,7 @@
       if (call.replies.empty()) {
         detached_calls_[call.id] = {request.service, 0};
       } else {
-        SendProgress(request.service, call.replies.front().ticket, protocol::StreamStep::Cancelled);
+        SendWithdrawal(request.service, call.replies.front().ticket);
       }
     }
     return std::nullopt;
@@ -253,6 +253,7 @@
       .Add("decode", decision.decode);
   Log().Event("local_placement", fields);
   if (decision.verdict != StreamVerdict::kGranted) {
+    if (workspace != nullptr) Refund(*workspace, request.charge);
     scheduler.OnEnd(decision.ticket, StreamEnd::kCancelled, now);
     const bool refused = decision.verdict == StreamVerdict::kRefused;
     return PlacementRefusal{false, refused ? decision.retry_after : kLocalRetryAfter,
@@ -401,6 +402,14 @@
   return AdmitLocally(quota, tokens);
 }
 
+void CoordinatorLink::Refund(const CatalogWorkspace& workspace, TokenCount tokens) {
+  const AccountQuota quota = QuotaOf(workspace);
+  if (!quota.limited() || tokens <= 0) return;
+  if (!CoordinatorResponsive()) local_quota_.Refund(quota, tokens, clock_.Now());
+  // Reported to the coordinator like the tokens that this VM has admitted itself.
+  if (connection_) balances_.AddUnreported(quota.account, -tokens);
+}
+
 QuotaDecision CoordinatorLink::AdmitRequest(const Replica& server, Cancellation& cancellation,
                                             Yield yield) {
   const AccountQuota quota = QuotaOf(server);
--- a/packages/protocol/include/marigoldquay/protocol/inner_generated.h
+++ b/packages/protocol/include/marigoldquay/protocol/inner_generated.h
@@ -6202,6 +6202,7 @@
   std::string software_version{};
   bool is_take_up = false;
   std::string resumes{};
+  uint32_t streaming_ms = 0;
 };
 
 struct PlaceStreamRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -6229,7 +6230,8 @@
     VT_HAS_SOFTWARE_VERSION = 32,
     VT_SOFTWARE_VERSION = 34,
     VT_IS_TAKE_UP = 36,
-    VT_RESUMES = 38
+    VT_RESUMES = 38,
+    VT_STREAMING_MS = 40
   };
   const flatbuffers::String *request_id() const {
     return GetPointer<const flatbuffers::String *>(VT_REQUEST_ID);
@@ -6285,6 +6287,9 @@
   const flatbuffers::String *resumes() const {
     return GetPointer<const flatbuffers::String *>(VT_RESUMES);
   }
+  uint32_t streaming_ms() const {
+    return GetField<uint32_t>(VT_STREAMING_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_REQUEST_ID) &&
@@ -6316,6 +6321,7 @@
            VerifyField<uint8_t>(verifier, VT_IS_TAKE_UP, 1) &&
            VerifyOffset(verifier, VT_RESUMES) &&
            verifier.VerifyString(resumes()) &&
+           VerifyField<uint32_t>(verifier, VT_STREAMING_MS, 4) &&
            verifier.EndTable();
   }
   PlaceStreamRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -6381,6 +6387,9 @@
   void add_resumes(flatbuffers::Offset<flatbuffers::String> resumes) {
     fbb_.AddOffset(PlaceStreamRequest::VT_RESUMES, resumes);
   }
+  void add_streaming_ms(uint32_t streaming_ms) {
+    fbb_.AddElement<uint32_t>(PlaceStreamRequest::VT_STREAMING_MS, streaming_ms, 0);
+  }
   explicit PlaceStreamRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -6413,11 +6422,13 @@
     bool has_software_version = false,
     flatbuffers::Offset<flatbuffers::String> software_version = 0,
     bool is_take_up = false,
-    flatbuffers::Offset<flatbuffers::String> resumes = 0) {
+    flatbuffers::Offset<flatbuffers::String> resumes = 0,
+    uint32_t streaming_ms = 0) {
   PlaceStreamRequestBuilder builder_(_fbb);
   builder_.add_output_tokens(output_tokens);
   builder_.add_prompt_tokens(prompt_tokens);
   builder_.add_charge(charge);
+  builder_.add_streaming_ms(streaming_ms);
   builder_.add_resumes(resumes);
   builder_.add_software_version(software_version);
   builder_.add_parts(parts);
@@ -6460,7 +6471,8 @@
     bool has_software_version = false,
     const char *software_version = nullptr,
     bool is_take_up = false,
-    const char *resumes = nullptr) {
+    const char *resumes = nullptr,
+    uint32_t streaming_ms = 0) {
   auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
@@ -6490,7 +6502,8 @@
       has_software_version,
       software_version__,
       is_take_up,
-      resumes__);
+      resumes__,
+      streaming_ms);
 }
 
 flatbuffers::Offset<PlaceStreamRequest> CreatePlaceStreamRequest(flatbuffers::FlatBufferBuilder &_fbb, const PlaceStreamRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6713,6 +6726,9 @@
   std::string service{};
   uint64_t ticket = 0;
   marigoldquay::protocol::StreamStep step = marigoldquay::protocol::StreamStep::PrefillDone;
+  bool grant_not_received = false;
+  uint32_t events = 0;
+  uint32_t long_pauses = 0;
 };
 
 struct StreamProgressMessage FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -6725,7 +6741,10 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SERVICE = 4,
     VT_TICKET = 6,
-    VT_STEP = 8
+    VT_STEP = 8,
+    VT_GRANT_NOT_RECEIVED = 10,
+    VT_EVENTS = 12,
+    VT_LONG_PAUSES = 14
   };
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
@@ -6736,12 +6755,24 @@
   marigoldquay::protocol::StreamStep step() const {
     return static_cast<marigoldquay::protocol::StreamStep>(GetField<uint8_t>(VT_STEP, 0));
   }
+  bool grant_not_received() const {
+    return GetField<uint8_t>(VT_GRANT_NOT_RECEIVED, 0) != 0;
+  }
+  uint32_t events() const {
+    return GetField<uint32_t>(VT_EVENTS, 0);
+  }
+  uint32_t long_pauses() const {
+    return GetField<uint32_t>(VT_LONG_PAUSES, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_SERVICE) &&
            verifier.VerifyString(service()) &&
            VerifyField<uint64_t>(verifier, VT_TICKET, 8) &&
            VerifyField<uint8_t>(verifier, VT_STEP, 1) &&
+           VerifyField<uint8_t>(verifier, VT_GRANT_NOT_RECEIVED, 1) &&
+           VerifyField<uint32_t>(verifier, VT_EVENTS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_LONG_PAUSES, 4) &&
            verifier.EndTable();
   }
   StreamProgressMessageT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -6762,6 +6793,15 @@
   void add_step(marigoldquay::protocol::StreamStep step) {
     fbb_.AddElement<uint8_t>(StreamProgressMessage::VT_STEP, static_cast<uint8_t>(step), 0);
   }
+  void add_grant_not_received(bool grant_not_received) {
+    fbb_.AddElement<uint8_t>(StreamProgressMessage::VT_GRANT_NOT_RECEIVED, static_cast<uint8_t>(grant_not_received), 0);
+  }
+  void add_events(uint32_t events) {
+    fbb_.AddElement<uint32_t>(StreamProgressMessage::VT_EVENTS, events, 0);
+  }
+  void add_long_pauses(uint32_t long_pauses) {
+    fbb_.AddElement<uint32_t>(StreamProgressMessage::VT_LONG_PAUSES, long_pauses, 0);
+  }
   explicit StreamProgressMessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -6778,10 +6818,16 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> service = 0,
     uint64_t ticket = 0,
-    marigoldquay::protocol::StreamStep step = marigoldquay::protocol::StreamStep::PrefillDone) {
+    marigoldquay::protocol::StreamStep step = marigoldquay::protocol::StreamStep::PrefillDone,
+    bool grant_not_received = false,
+    uint32_t events = 0,
+    uint32_t long_pauses = 0) {
   StreamProgressMessageBuilder builder_(_fbb);
   builder_.add_ticket(ticket);
+  builder_.add_long_pauses(long_pauses);
+  builder_.add_events(events);
   builder_.add_service(service);
+  builder_.add_grant_not_received(grant_not_received);
   builder_.add_step(step);
   return builder_.Finish();
 }
@@ -6795,13 +6841,19 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *service = nullptr,
     uint64_t ticket = 0,
-    marigoldquay::protocol::StreamStep step = marigoldquay::protocol::StreamStep::PrefillDone) {
+    marigoldquay::protocol::StreamStep step = marigoldquay::protocol::StreamStep::PrefillDone,
+    bool grant_not_received = false,
+    uint32_t events = 0,
+    uint32_t long_pauses = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   return marigoldquay::protocol::CreateStreamProgressMessage(
       _fbb,
       service__,
       ticket,
-      step);
+      step,
+      grant_not_received,
+      events,
+      long_pauses);
 }
 
 flatbuffers::Offset<StreamProgressMessage> CreateStreamProgressMessage(flatbuffers::FlatBufferBuilder &_fbb, const StreamProgressMessageT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -9487,7 +9539,8 @@
       (lhs.has_software_version == rhs.has_software_version) &&
       (lhs.software_version == rhs.software_version) &&
       (lhs.is_take_up == rhs.is_take_up) &&
-      (lhs.resumes == rhs.resumes);
+      (lhs.resumes == rhs.resumes) &&
+      (lhs.streaming_ms == rhs.streaming_ms);
 }
 
 inline bool operator!=(const PlaceStreamRequestT &lhs, const PlaceStreamRequestT &rhs) {
@@ -9522,6 +9575,7 @@
   { auto _e = software_version(); if (_e) _o->software_version = _e->str(); }
   { auto _e = is_take_up(); _o->is_take_up = _e; }
   { auto _e = resumes(); if (_e) _o->resumes = _e->str(); }
+  { auto _e = streaming_ms(); _o->streaming_ms = _e; }
 }
 
 inline flatbuffers::Offset<PlaceStreamRequest> PlaceStreamRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceStreamRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -9550,6 +9604,7 @@
   auto _software_version = _o->software_version.empty() ? 0 : _fbb.CreateString(_o->software_version);
   auto _is_take_up = _o->is_take_up;
   auto _resumes = _o->resumes.empty() ? 0 : _fbb.CreateString(_o->resumes);
+  auto _streaming_ms = _o->streaming_ms;
   return marigoldquay::protocol::CreatePlaceStreamRequest(
       _fbb,
       _request_id,
@@ -9569,7 +9624,8 @@
       _has_software_version,
       _software_version,
       _is_take_up,
-      _resumes);
+      _resumes,
+      _streaming_ms);
 }
 
 
@@ -9654,7 +9710,10 @@
   return
       (lhs.service == rhs.service) &&
       (lhs.ticket == rhs.ticket) &&
-      (lhs.step == rhs.step);
+      (lhs.step == rhs.step) &&
+      (lhs.grant_not_received == rhs.grant_not_received) &&
+      (lhs.events == rhs.events) &&
+      (lhs.long_pauses == rhs.long_pauses);
 }
 
 inline bool operator!=(const StreamProgressMessageT &lhs, const StreamProgressMessageT &rhs) {
@@ -9674,6 +9733,9 @@
   { auto _e = service(); if (_e) _o->service = _e->str(); }
   { auto _e = ticket(); _o->ticket = _e; }
   { auto _e = step(); _o->step = _e; }
+  { auto _e = grant_not_received(); _o->grant_not_received = _e; }
+  { auto _e = events(); _o->events = _e; }
+  { auto _e = long_pauses(); _o->long_pauses = _e; }
 }
 
 inline flatbuffers::Offset<StreamProgressMessage> StreamProgressMessage::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StreamProgressMessageT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -9687,11 +9749,17 @@
   auto _service = _fbb.CreateString(_o->service);
   auto _ticket = _o->ticket;
   auto _step = _o->step;
+  auto _grant_not_received = _o->grant_not_received;
+  auto _events = _o->events;
+  auto _long_pauses = _o->long_pauses;
   return marigoldquay::protocol::CreateStreamProgressMessage(
       _fbb,
       _service,
       _ticket,
-      _step);
+      _step,
+      _grant_not_received,
+      _events,
+      _long_pauses);
 }
 
 }  // namespace protocol
--- a/packages/relay/include/marigoldquay/relay/stream_placer.h
+++ b/packages/relay/include/marigoldquay/relay/stream_placer.h
@@ -95,6 +95,9 @@
   /// Charges `tokens` to the workspace. May block the fiber until the coordinator decides.
   virtual QuotaDecision Admit(const CatalogWorkspace& workspace, TokenCount tokens,
                               Cancellation& cancellation, Yield yield) = 0;
+  /// Gives back tokens that the workspace was charged, here or by a granted placement, for a
+  /// request that did not run.
+  virtual void Refund(const CatalogWorkspace& workspace, TokenCount tokens) = 0;
   /// Charges a request that is about to be sent to a server with a request limit. Does not wait for
   /// another coordinator when the present one does not respond.
   virtual QuotaDecision AdmitRequest(const Replica& server, Cancellation& cancellation,
--- a/packages/relay/src/front_handler.cc
+++ b/packages/relay/src/front_handler.cc
@@ -108,6 +108,7 @@
   if (state.metadata.tokens) cost = state.metadata.tokens->prompt + state.metadata.tokens->output;
   const auto decision =
       state.context.quota.Admit(*state.workspace, cost, state.cancellation, yield);
+  if (decision.admitted) state.charged = cost;
   if (state.cancellation.cancelled()) {
     HandleCancellation(state, yield);
     return false;
@@ -117,6 +118,12 @@
   return false;
 }
 
+// A caller that is refused and comes again must not pay twice.
+void RefundUnlessRun(const RequestState& state) {
+  if (state.workspace == nullptr || state.charged <= 0 || state.MayHaveRun()) return;
+  state.context.quota.Refund(*state.workspace, state.charged);
+}
+
 absl::string_view ToText(const std::optional<internal::BodyFraming>& framing) {
   constexpr absl::string_view kTexts[] = {"length", "chunks", "connection_end"};
   return framing ? kTexts[static_cast<int>(*framing)] : "";
@@ -197,6 +204,7 @@
       if (!error) cancellation.Cancel(CancelCause::kTimeout);
     });
     Relay(state, yield);
+    RefundUnlessRun(state);
     // The completion handler refers to the cancellation of this request, so it must run before this
     // function returns.
     timer.cancel();
--- a/packages/relay/src/model_relay.cc
+++ b/packages/relay/src/model_relay.cc
@@ -72,6 +72,8 @@
                                      excluded_.end());
       request.demand.software_version = software_version_;
       const auto outcome = state_.context.placer.Place(request, state_.cancellation, yield);
+      const bool granted = std::holds_alternative<StreamPlacement>(outcome);
+      if (granted) state_.charged += std::exchange(request.charge, 0);
       if (state_.cancellation.cancelled()) {
         AbandonPlacement(outcome);
         HandleCancellation(state_, yield);
@@ -81,7 +83,6 @@
         Reject(*refusal, yield);
         return;
       }
-      request.charge = 0;
       if (ServePlacement(std::get<StreamPlacement>(outcome), yield) == NextStep::kStop) return;
     }
     RejectExhausted(yield);
@@ -156,6 +157,7 @@
   // The first prefill that an engine accepts belongs to the first attempt; any other one is a
   // retry.
   void CountPrefill(bool accepted) {
+    state_.prompt_processed |= accepted;
     if (accepted && !std::exchange(prefill_accepted_, true)) return;
     budget_.OnRetry(state_.Now());
   }
--- a/packages/relay/src/request_state.h
+++ b/packages/relay/src/request_state.h
@@ -38,6 +38,10 @@
   int send_count = 0;
   // Number of backend servers that may have started to execute the request.
   int execution_count = 0;
+  // Tokens that the workspace was charged; 0 when the charge was refused.
+  TokenCount charged = 0;
+  // Whether an engine may have processed the prompt.
+  bool prompt_processed = false;
   // Reported in the log event of the request.
   BackendServerId last_server;
   // Framing of the last response that was accepted from a backend server.
@@ -49,6 +53,12 @@
 
   absl::Time Now() const { return context.clock.Now(); }
   absl::Duration TimeLeft() const { return deadline - Now(); }
+  // Whether a backend server may have run the request, or an engine has worked for a caller that
+  // left. A request that the router has refused as not run has not run, whatever was tried before.
+  bool MayHaveRun() const {
+    const bool sent = send_count > 0 || prompt_processed;
+    return execution_count > 0 || (sent && cancellation.cancelled());
+  }
   // Maximum number of idle connections from this VM to a backend server of the service.
   std::size_t MaxIdleConnections() const;
   // Time for which the request is refused since requests like it have crashed backend servers.
--- a/packages/relay/tests/front_fixture.h
+++ b/packages/relay/tests/front_fixture.h
@@ -126,6 +126,10 @@
     (void)yield;
     return {true, absl::ZeroDuration()};
   }
+  void Refund(const CatalogWorkspace& workspace, TokenCount tokens) override {
+    (void)workspace;
+    refunded += tokens;
+  }
   QuotaDecision AdmitRequest(const Replica& server, Cancellation& cancellation,
                              Yield yield) override {
     (void)server;
@@ -137,6 +141,7 @@
   std::function<void()> on_place = [] {};
   std::vector<StreamPlacement> placements;
   std::vector<StreamEnd> ends;
+  TokenCount refunded = 0;
 };
 
 /// Keeps the response for the test.
--- a/tests/platform/broken_off_responses_test.cc
+++ b/tests/platform/broken_off_responses_test.cc
@@ -125,6 +125,10 @@
     (void)yield;
     return {true, absl::ZeroDuration()};
   }
+  void Refund(const CatalogWorkspace& workspace, TokenCount tokens) override {
+    (void)workspace;
+    (void)tokens;
+  }
   QuotaDecision AdmitRequest(const Replica& server, Cancellation& cancellation,
                              Yield yield) override {
     (void)server;
