--- a/packages/relay/src/model_relay.cc
+++ b/packages/relay/src/model_relay.cc
@@ -43,6 +43,8 @@
                                      excluded_.end());
       request.demand.software_version = software_version_;
       const auto outcome = state_.context.placer.Place(request, state_.cancellation, yield);
+      const bool granted = std::holds_alternative<StreamPlacement>(outcome);
+      if (granted) state_.charged += std::exchange(request.charge, 0);
       if (state_.cancellation.cancelled()) {
         AbandonPlacement(outcome);
         HandleCancellation(state_, yield);
@@ -52,7 +54,6 @@
         Reject(*refusal, yield);
         return;
       }
-      request.charge = 0;
       if (ServePlacement(std::get<StreamPlacement>(outcome), yield) == NextStep::kStop) return;
     }
     RejectExhausted(yield);
--- a/packages/relay/src/prefill_exchange.cc
+++ b/packages/relay/src/prefill_exchange.cc
@@ -86,6 +86,7 @@
 }
 
 void PrefillExchange::CountPrefill(bool accepted) {
+  state_.prompt_processed |= accepted;
   if (accepted && !std::exchange(accepted_, true)) return;
   budget_.OnRetry(state_.Now());
 }
