--- a/review/stand-ins-2/deployment.h
+++ b/review/stand-ins-2/deployment.h
@@ -94,6 +94,7 @@
   /// Runs a function on the thread of the stand-ins and waits for it.
   void Run(const std::function<void()>& action);
   FakeStore& store() { return *store_; }
+  asio::io_context& io() { return io_; }
   FakeReplica& replica(const std::string& id) { return *replicas_.at(id); }
   ReplicaLedger Seen();
 
