--- /dev/null
+++ b/review/stand-ins-2/engine.h
@@ -0,0 +1,49 @@
+// Stand-in of a decode engine that streams events, resumes after Last-Event-Id and can crash.
+#ifndef MARIGOLDQUAY_REVIEW_STAND_INS_2_ENGINE_H_
+#define MARIGOLDQUAY_REVIEW_STAND_INS_2_ENGINE_H_
+
+#include <functional>
+#include <set>
+#include <string>
+
+#include "deployment.h"
+
+namespace marigoldquay::review {
+
+struct EngineOptions {
+  std::string id;
+  int events = 20;
+  absl::Duration event_gap = absl::Milliseconds(60);
+  /// Id of event `number`, from 1 on.
+  std::function<std::string(int number)> event_id;
+  std::string line_end = "\n";
+};
+
+class Engine final : public HttpHandler {
+ public:
+  Engine(asio::io_context& io, EngineOptions options, Record& record);
+
+  void Handle(HttpRequest& request, HttpReplyWriter& reply, Cancellation& cancellation,
+              Yield yield) override;
+
+  /// Its entry in the store.
+  std::string Entry();
+  /// Resets all streams in the middle of an event, and accepts no connections from now on.
+  void Crash();
+  /// One event, as the engine sends it.
+  std::string Event(int number) const;
+
+ private:
+  asio::io_context& io_;
+  const EngineOptions options_;
+  Record& record_;
+  HttpListener listener_;
+  const std::string address_;
+  const absl::Time born_;
+  std::set<HttpReplyWriter*> replies_;
+  bool crashed_ = false;
+};
+
+}  // namespace marigoldquay::review
+
+#endif  // MARIGOLDQUAY_REVIEW_STAND_INS_2_ENGINE_H_
