--- a/review/stand-ins-2/engine.cc
+++ b/review/stand-ins-2/engine.cc
@@ -24,16 +24,16 @@
       address_(Listen(listener_)),
       born_(absl::Now()) {}
 
-std::string Engine::Entry() {
+std::string Engine::Entry(const std::string& state) {
   return boost::json::serialize(boost::json::object{{"service", "model"},
                                                     {"address", address_},
                                                     {"zone", "z1"},
                                                     {"version", "v1"},
                                                     {"slots", 8},
-                                                    {"state", "ready"},
+                                                    {"state", state},
                                                     {"coldLeftMs", 0},
                                                     {"phase", "decode"},
-                                                    {"sequence", 1},
+                                                    {"sequence", ++sequence_},
                                                     {"born", absl::ToUnixMillis(born_)}});
 }
 
--- a/review/stand-ins-2/engine.h
+++ b/review/stand-ins-2/engine.h
@@ -26,8 +26,8 @@
   void Handle(HttpRequest& request, HttpReplyWriter& reply, Cancellation& cancellation,
               Yield yield) override;
 
-  /// Its entry in the store.
-  std::string Entry();
+  /// Its next entry in the store.
+  std::string Entry(const std::string& state = "ready");
   /// Resets all streams in the middle of an event, and accepts no connections from now on.
   void Crash();
   /// One event, as the engine sends it.
@@ -42,6 +42,7 @@
   const absl::Time born_;
   std::set<HttpReplyWriter*> replies_;
   bool crashed_ = false;
+  int sequence_ = 0;
 };
 
 }  // namespace marigoldquay::review
