--- a/review/stand-ins-2/engine.cc
+++ b/review/stand-ins-2/engine.cc
@@ -16,9 +16,9 @@
 
 }  // namespace
 
-Engine::Engine(asio::io_context& io, EngineOptions options, Record& record)
+Engine::Engine(asio::io_context& io, const EngineOptions& options, Record& record)
     : io_(io),
-      options_(std::move(options)),
+      options_(options),
       record_(record),
       listener_(io, *this, 200),
       address_(Listen(listener_)),
--- a/review/stand-ins-2/engine.h
+++ b/review/stand-ins-2/engine.h
@@ -21,7 +21,7 @@
 
 class Engine final : public HttpHandler {
  public:
-  Engine(asio::io_context& io, EngineOptions options, Record& record);
+  Engine(asio::io_context& io, const EngineOptions& options, Record& record);
 
   void Handle(HttpRequest& request, HttpReplyWriter& reply, Cancellation& cancellation,
               Yield yield) override;
