--- a/review/stand-ins-2/case_10.cc
+++ b/review/stand-ins-2/case_10.cc
@@ -1,11 +1,13 @@
-// A release whose new engines end the lines of their events with a carriage return: the router
-// gives the client an empty answer that ends as complete.
+// While the store is down an engine starts again under its id with another software version, and a
+// second engine crashes: the router has streams of the old version go on at the new one.
 #include <cstdio>
 #include <map>
+#include <memory>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
 #include "deployment.h"
@@ -14,22 +16,13 @@
 namespace marigoldquay::review {
 namespace {
 
-constexpr int kStreams = 8;
-constexpr int kEvents = 20;
-constexpr char kLineFeed[] = "\n";
-constexpr char kCarriageReturn[] = "\r";
+constexpr int kStreams = 14;
+constexpr int kEvents = 40;
 constexpr absl::Duration kDeadline = absl::Seconds(14);
-
-std::string EventId(int number) { return absl::StrCat(number); }
-
-// A stream as its engine writes it.
-std::string WholeBody(const std::string& line_end) {
-  std::string body;
-  for (int n = 1; n <= kEvents; ++n) {
-    absl::StrAppend(&body, "id: ", EventId(n), line_end, "data: token ", n, line_end, line_end);
-  }
-  return body;
-}
+// ORDER breaks when more streams than this hold events of two versions.
+constexpr int kAllowed = 2;
+// The store is down for 4.5 s.
+constexpr absl::Duration kOutage = absl::Milliseconds(4500);
 
 Attempt Stream(int number) {
   Attempt attempt;
@@ -42,6 +35,10 @@
   return attempt;
 }
 
+bool IsJoined(const std::string& body) {
+  return absl::StrContains(body, "data: v1") && absl::StrContains(body, "data: v2");
+}
+
 int Play(Record& record) {
   DeploymentOptions options;
   for (const char* id : {"p1", "p2"}) {
@@ -51,33 +48,41 @@
     prefill.phase = "prefill";
     options.replicas.push_back(prefill);
   }
+  options.configuration = [](boost::json::object& configuration) {
+    configuration["services"].as_array()[1].as_object()["engine"].as_object()["slots"] = 64;
+  };
   Deployment deployment(options, record);
   std::map<std::string, std::unique_ptr<Engine>> engines;
-  const auto start_engine = [&](const std::string& id, const std::string& line_end) {
-    EngineOptions engine;
-    engine.id = id;
-    engine.events = kEvents;
-    engine.event_id = EventId;
-    engine.line_end = line_end;
-    engines[id] = std::make_unique<Engine>(deployment.io(), engine, record);
-    deployment.store().Put("keyed.servers", id, engines[id]->Entry("ready"));
+  const auto announce = [&](const std::string& id) {
+    deployment.store().Put("keyed.servers", id, engines[id]->Entry());
   };
   deployment.Run([&] {
-    for (const char* id : {"d1", "d2"}) start_engine(id, kLineFeed);
+    for (const std::string id : {"d1", "d2"}) {
+      EngineOptions engine;
+      engine.id = id;
+      engine.events = kEvents;
+      engine.event_id = [](int number) { return absl::StrCat(number); };
+      engines[id] = std::make_unique<Engine>(deployment.io(), engine, record);
+      announce(id);
+    }
   });
   for (int i = 0; i < options.vms; ++i) deployment.StartVm(i);
   for (int i = 0; i < options.vms; ++i) {
     if (!deployment.AwaitReady(i)) return kCouldNotRun;
   }
-  absl::SleepFor(absl::Seconds(1));
-  // The new one starts first, then the old one drains.
-  const std::string new_line_end = PlaysTrouble() ? kCarriageReturn : kLineFeed;
-  record.Line("release: d3 starts, d1 drains");
-  deployment.Run([&] {
-    start_engine("d3", new_line_end);
-    deployment.store().Put("keyed.servers", "d1", engines["d1"]->Entry("draining"));
-  });
-  absl::SleepFor(absl::Seconds(2));
+  absl::SleepFor(absl::Seconds(4));
+  const absl::Time down = absl::Now();
+  const auto at = [&](absl::Duration after) { absl::SleepFor(down + after - absl::Now()); };
+  if (PlaysTrouble()) {
+    record.Line("the store is down");
+    deployment.Run([&] {
+      deployment.store().set_mode(testing::StoreMode::kBusy);
+      engines["d1"]->Crash();
+    });
+    at(absl::Seconds(1));
+    deployment.Run([&] { engines["d1"]->Restart("v2"); });
+  }
+  at(absl::Milliseconds(2300));
   std::vector<Outcome> outcomes(kStreams);
   std::vector<std::thread> threads;
   for (int i = 0; i < kStreams; ++i) {
@@ -85,25 +90,33 @@
       outcomes[static_cast<std::size_t>(i)] = deployment.Send(i % options.vms, Stream(i));
     });
   }
+  at(absl::Milliseconds(3200));
+  if (PlaysTrouble()) deployment.Run([&] { engines["d2"]->Crash(); });
+  at(kOutage);
+  if (PlaysTrouble()) {
+    record.Line("the store is back, and d1 writes its entry");
+    deployment.Run([&] {
+      deployment.store().set_mode(testing::StoreMode::kUp);
+      announce("d1");
+    });
+  }
   for (auto& thread : threads) thread.join();
-  const std::string bodies[] = {WholeBody(kLineFeed), WholeBody(new_line_end)};
+  int joined = 0;
   int whole = 0;
-  int cut_short = 0;
   for (const Outcome& outcome : outcomes) {
-    const auto& response = outcome.response;
-    if (response.status != 200 || !response.complete()) continue;
-    if (response.body == bodies[0] || response.body == bodies[1]) {
+    if (IsJoined(outcome.response.body)) {
+      ++joined;
+      record.Line(absl::StrCat(outcome.id, " holds events of v1 and of v2, and ",
+                               outcome.response.complete() ? "ends as complete" : "breaks off"));
+    } else if (outcome.response.complete() && outcome.response.status == 200) {
       ++whole;
-      continue;
     }
-    ++cut_short;
-    record.Line(absl::StrCat(outcome.id, " is answered 200 and ends as complete with ",
-                             response.body.size(), " of ", bodies[0].size(), " bytes: MIXED"));
   }
   deployment.Run([&] { engines.clear(); });
-  record.Line(absl::StrCat(whole, " whole, ", cut_short, " cut short, of ", kStreams));
-  std::printf("%d whole, %d cut short, of %d\n", whole, cut_short, kStreams);
-  return cut_short > 0 ? kBroken : kHeld;
+  record.Line(absl::StrCat(whole, " whole of one version, ", joined, " of two versions, of ",
+                           kStreams, joined > kAllowed ? ": ORDER" : ""));
+  std::printf("%d whole of one version, %d of two versions, of %d\n", whole, joined, kStreams);
+  return joined > kAllowed ? kBroken : kHeld;
 }
 
 }  // namespace
--- a/review/stand-ins-2/case_9.cc
+++ b/review/stand-ins-2/case_9.cc
@@ -54,6 +54,9 @@
     prefill.phase = "prefill";
     options.replicas.push_back(prefill);
   }
+  options.configuration = [](boost::json::object& configuration) {
+    configuration["services"].as_array()[1].as_object()["engine"].as_object()["slots"] = 64;
+  };
   Deployment deployment(options, record);
   std::map<std::string, std::unique_ptr<Engine>> engines;
   deployment.Run([&] {
--- a/review/stand-ins-2/engine.cc
+++ b/review/stand-ins-2/engine.cc
@@ -28,8 +28,8 @@
   return boost::json::serialize(boost::json::object{{"service", "model"},
                                                     {"address", address_},
                                                     {"zone", "z1"},
-                                                    {"version", "v1"},
-                                                    {"slots", 8},
+                                                    {"version", options_.version},
+                                                    {"slots", 64},
                                                     {"state", state},
                                                     {"coldLeftMs", 0},
                                                     {"phase", "decode"},
@@ -39,7 +39,8 @@
 
 std::string Engine::Event(int number) const {
   const std::string& end = options_.line_end;
-  return absl::StrCat("id: ", options_.event_id(number), end, "data: token ", number, end, end);
+  return absl::StrCat("id: ", options_.event_id(number), end, "data: ", options_.version, " token ",
+                      number, end, end);
 }
 
 void Engine::Crash() {
@@ -51,6 +52,15 @@
   for (HttpReplyWriter* reply : replies_) reply->Abort();
 }
 
+void Engine::Restart(const std::string& version) {
+  record_.Line(absl::StrCat("engine ", options_.id, " starts again with version ", version));
+  options_.version = version;
+  born_ = absl::Now();
+  sequence_ = 0;
+  crashed_ = false;
+  (void)listener_.Start(address_);
+}
+
 void Engine::Handle(HttpRequest& request, HttpReplyWriter& reply, Cancellation& cancellation,
                     Yield yield) {
   const std::string attempt(request["Attempt-Id"]);
@@ -67,7 +77,8 @@
   for (int n = 1; n <= options_.events; ++n) {
     if (!after.empty() && options_.event_id(n) == after) first = n + 1;
   }
-  record_.Line(absl::StrCat("engine ", options_.id, " runs ", attempt, " from event ", first,
+  record_.Line(absl::StrCat("engine ", options_.id, " (", options_.version, ") runs ", attempt,
+                            " from event ", first,
                             after.empty() ? "" : ", taken up after " + after));
   replies_.insert(&reply);
   (void)reply.Begin(200, fields, std::nullopt, yield);
--- a/review/stand-ins-2/engine.h
+++ b/review/stand-ins-2/engine.h
@@ -17,6 +17,8 @@
   /// Id of event `number`, from 1 on.
   std::function<std::string(int number)> event_id;
   std::string line_end = "\n";
+  /// Version of its software; written into each event.
+  std::string version = "v1";
 };
 
 class Engine final : public HttpHandler {
@@ -30,16 +32,18 @@
   std::string Entry(const std::string& state = "ready");
   /// Resets all streams in the middle of an event, and accepts no connections from now on.
   void Crash();
+  /// Starts again at the same address and under the same id, with another version.
+  void Restart(const std::string& version);
   /// One event, as the engine sends it.
   std::string Event(int number) const;
 
  private:
   asio::io_context& io_;
-  const EngineOptions options_;
+  EngineOptions options_;
   Record& record_;
   HttpListener listener_;
   const std::string address_;
-  const absl::Time born_;
+  absl::Time born_;
   std::set<HttpReplyWriter*> replies_;
   bool crashed_ = false;
   int sequence_ = 0;
