--- a/review/stand-ins-2/case_8.cc
+++ b/review/stand-ins-2/case_8.cc
@@ -1,10 +1,10 @@
-// Servers that fail part of their orders with 503 after they have run them: the router passes the
-// status on, which promises the client that the order has not run.
+// A planned stop while the engines are full: streams that wait for one are dropped without an
+// answer when the process ends.
 #include <atomic>
 #include <cstdio>
-#include <map>
-#include <set>
 #include <string>
+#include <thread>
+#include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
@@ -13,135 +13,107 @@
 namespace marigoldquay::review {
 namespace {
 
-constexpr int kOrders = 60;
-// srv_grey fails 0.45 of the requests of 0.14 of the servers, one of three at least.
-constexpr double kFailing = 0.45;
-constexpr char kGreyServer[] = "s1";
+constexpr int kEngines = 2;
+// Callers of lecture summaries, which go first, from the start to the end. Each engine has 8 slots.
+constexpr int kUrgentCallers = 48;
+// A stream takes 1.2 s, with pauses below the sheet's 300 ms.
+constexpr int kEvents = 20;
+constexpr absl::Duration kEventGap = absl::Milliseconds(60);
+constexpr absl::Duration kGrace = absl::Seconds(8);
+constexpr absl::Duration kLossSlack = absl::Milliseconds(200);
+// Clients abandon a stream after a gap of four times its objective of 2 s.
+constexpr absl::Duration kLongestGap = absl::Seconds(8);
+constexpr absl::Duration kDeadline = absl::Seconds(14);
+// Bulk summaries that come to the machine that is stopped, the first just after the SIGTERM.
+constexpr int kBulkCallers = 10;
+constexpr absl::Duration kCallerPause = absl::Milliseconds(200);
+// The others lead.
+constexpr int kStopped = 2;
 
-/// A plain server that works on an order and then cannot complete it.
-class OrderServer final : public HttpHandler {
- public:
-  OrderServer(asio::io_context& io, std::string id, Record& record)
-      : io_(io), id_(std::move(id)), record_(record), listener_(io, *this, 200) {
-    (void)listener_.Start("127.0.0.1:0");
-  }
-
-  void Handle(HttpRequest& request, HttpReplyWriter& reply, Cancellation& cancellation,
-              Yield yield) override {
-    (void)cancellation;
-    const std::string attempt(request["Attempt-Id"]);
-    HttpFields fields;
-    fields.set("Attempt-Id", attempt);
-    if (request["Expect-Instance"] != id_) {
-      (void)reply.SendReply(421, fields, "", yield);
-      return;
-    }
-    ++runs_[attempt];
-    ++runs_by_body_[request.body()];
-    record_.Line(absl::StrCat("server ", id_, " runs ", attempt));
-    SleepFor(io_, absl::Milliseconds(30), yield);
-    fields.set("Response-Seal", absl::StrCat("seal.", id_, ".", attempt));
-    const bool fails = id_ == kGreyServer && PlaysTrouble() && IsTurn();
-    // No Not-Executed: the answer does not say that the order has not run.
-    (void)reply.SendReply(fails ? 503 : 200, fields, fails ? "payment not confirmed" : "placed",
-                          yield);
-  }
-
-  std::string address() const { return listener_.address(); }
-  const std::map<std::string, int>& runs() const { return runs_; }
-  const std::map<std::string, int>& runs_by_body() const { return runs_by_body_; }
-
- private:
-  // True for the stated share of the calls, evenly spread.
-  bool IsTurn() {
-    due_ += kFailing;
-    if (due_ < 1) return false;
-    due_ -= 1;
-    return true;
-  }
-
-  asio::io_context& io_;
-  const std::string id_;
-  Record& record_;
-  HttpListener listener_;
-  double due_ = 0;
-  // Runs of an attempt, and of an order over its attempts.
-  std::map<std::string, int> runs_;
-  std::map<std::string, int> runs_by_body_;
-};
+ReplicaOptions Engine(const std::string& id, const std::string& phase) {
+  ReplicaOptions options;
+  options.id = id;
+  options.service = "model";
+  options.phase = phase;
+  options.events = kEvents;
+  options.event_gap = kEventGap;
+  return options;
+}
 
-std::string Entry(const OrderServer& server) {
-  return boost::json::serialize(boost::json::object{{"service", "desk"},
-                                                    {"address", server.address()},
-                                                    {"zone", "z1"},
-                                                    {"version", "v1"},
-                                                    {"slots", 6},
-                                                    {"state", "ready"},
-                                                    {"coldLeftMs", 0},
-                                                    {"sequence", 1},
-                                                    {"born", absl::ToUnixMillis(absl::Now())}});
+Attempt Stream(const std::string& path, const std::string& id) {
+  Attempt attempt;
+  attempt.path = path;
+  attempt.id = id;
+  attempt.headers = {"Model: m", absl::StrCat("Token-Count: 5000,", kEvents),
+                     absl::StrCat("Prompt-Prefix: a1:200,", id, ":4800")};
+  attempt.deadline = kDeadline;
+  attempt.patience = kDeadline;
+  return attempt;
 }
 
 int Play(Record& record) {
   DeploymentOptions options;
+  for (int i = 1; i <= 2; ++i) options.replicas.push_back(Engine(absl::StrCat("p", i), "prefill"));
+  for (int i = 1; i <= kEngines; ++i) {
+    options.replicas.push_back(Engine(absl::StrCat("d", i), "decode"));
+  }
   Deployment deployment(options, record);
-  std::map<std::string, std::unique_ptr<OrderServer>> servers;
-  deployment.Run([&] {
-    for (const std::string id : {"s1", "s2", "s3"}) {
-      servers[id] = std::make_unique<OrderServer>(deployment.io(), id, record);
-      deployment.store().Put("keyed.servers", id, Entry(*servers[id]));
-    }
-  });
-  for (int i = 0; i < options.vms; ++i) deployment.StartVm(i);
-  for (int i = 0; i < options.vms; ++i) {
+  for (int i = 0; i < 3; ++i) {
+    deployment.StartVm(i);
     if (!deployment.AwaitReady(i)) return kCouldNotRun;
+    absl::SleepFor(absl::Milliseconds(1500));
   }
-  std::map<std::string, int> statuses;
-  for (int i = 0; i < kOrders; ++i) {
-    Attempt order;
-    order.path = "/order/x";
-    order.id = absl::StrCat("order-", i);
-    order.body = absl::StrCat("mugs for family ", i);
-    const int status = deployment.Send(i % options.vms, order).response.status;
-    statuses[order.id] = status;
-    if (status == 503) {
-      // Clients send an unsafe request again after a promise, with a new id.
-      order.id = absl::StrCat("order-", i, "-again");
-      statuses[order.id] = deployment.Send((i + 1) % options.vms, order).response.status;
-    }
-    absl::SleepFor(absl::Milliseconds(20));
-  }
-  int refused_and_run = 0;
-  int refused = 0;
-  std::map<std::string, int> runs_by_body;
-  deployment.Run([&] {
-    for (const auto& [id, status] : statuses) {
-      if (status != 503 && status != 429 && status != 408 && status != 421) continue;
-      ++refused;
-      int runs = 0;
-      for (const auto& [name, server] : servers) {
-        const auto run = server->runs().find(id);
-        if (run != server->runs().end()) runs += run->second;
+  std::vector<std::thread> threads;
+  std::vector<std::thread> bulk_threads;
+  std::atomic<bool> done{false};
+  for (int i = 0; i < kUrgentCallers; ++i) {
+    threads.emplace_back([&deployment, &done, i] {
+      for (int n = 0; !done; ++n) {
+        const Outcome outcome =
+            deployment.Send(i % 2, Stream("/lecture/x", absl::StrCat("u", i, "-", n)));
+        if (outcome.response.status != 200) absl::SleepFor(absl::Milliseconds(300));
       }
-      if (runs == 0) continue;
-      ++refused_and_run;
-      record.Line(absl::StrCat(id, " was answered ", status, " and has run: REFUSED"));
-    }
-  });
-  deployment.Run([&] {
-    for (const auto& [name, server] : servers) {
-      for (const auto& [body, runs] : server->runs_by_body()) runs_by_body[body] += runs;
-    }
-    servers.clear();
-  });
-  int placed_twice = 0;
-  for (const auto& [body, runs] : runs_by_body) placed_twice += runs > 1 ? 1 : 0;
-  record.Line(absl::StrCat(refused, " of ", kOrders, " orders refused, ", refused_and_run,
-                           " of these have run, ", placed_twice,
-                           " families have their order twice"));
-  std::printf("%d of %d orders refused, %d of these have run, %d placed twice\n", refused, kOrders,
-              refused_and_run, placed_twice);
-  return refused_and_run > 0 ? kBroken : kHeld;
+    });
+  }
+  absl::SleepFor(absl::Milliseconds(1500));
+  const absl::Time stop = absl::Now();
+  if (PlaysTrouble()) {
+    record.Line("SIGTERM to front-2");
+    deployment.vm(kStopped).Terminate();
+  }
+  std::vector<Outcome> outcomes(kBulkCallers);
+  for (int i = 0; i < kBulkCallers; ++i) {
+    absl::SleepFor(kCallerPause);
+    bulk_threads.emplace_back([&, i] {
+      outcomes[static_cast<std::size_t>(i)] =
+          deployment.Send(kStopped, Stream("/bulk/x", absl::StrCat("bulk-", i)));
+    });
+  }
+  if (PlaysTrouble()) {
+    const auto status = deployment.vm(kStopped).Wait(kGrace + absl::Seconds(1));
+    record.Line(absl::StrCat("front-2 ended with ", status.value_or(-1), " ",
+                             absl::FormatDuration(absl::Now() - stop), " after the SIGTERM"));
+  }
+  for (auto& thread : bulk_threads) thread.join();
+  done = true;
+  for (auto& thread : threads) thread.join();
+  const ReplicaLedger seen = deployment.Seen();
+  int answered = 0;
+  int lost = 0;
+  for (const Outcome& outcome : outcomes) {
+    bool reached = false;
+    for (const auto& arrival : seen.arrivals) reached = reached || arrival.request_id == outcome.id;
+    if (outcome.response.complete()) ++answered;
+    const absl::Duration took = outcome.ended - outcome.sent;
+    // Excused are requests that reached a replica, and those that a client would have given up.
+    if (!outcome.cut || reached || took < kLossSlack || took > kLongestGap) continue;
+    ++lost;
+    record.Line(absl::StrCat(outcome.id, " LOST: no answer and no replica, ",
+                             absl::FormatDuration(took), " after it was sent"));
+  }
+  record.Line(absl::StrCat(answered, " answered, ", lost, " lost of ", kBulkCallers));
+  std::printf("%d answered, %d lost of %d\n", answered, lost, kBulkCallers);
+  return lost > 0 ? kBroken : kHeld;
 }
 
 }  // namespace
--- a/review/stand-ins-2/case_9.cc
+++ b/review/stand-ins-2/case_9.cc
@@ -1,14 +1,14 @@
-// An engine crashes under resumable streams whose event ids are texts: the router goes on from the
-// beginning, behind events that the client already has.
+// While the store is down an engine starts again under its id with another software version, and a
+// second engine crashes: the router has streams of the old version go on at the new one.
 #include <cstdio>
 #include <map>
+#include <memory>
 #include <string>
 #include <thread>
 #include <vector>
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
-#include "absl/strings/str_split.h"
 #include "absl/time/clock.h"
 #include "deployment.h"
 #include "engine.h"
@@ -16,12 +16,13 @@
 namespace marigoldquay::review {
 namespace {
 
-constexpr int kStreams = 8;
-constexpr int kEvents = 20;
+constexpr int kStreams = 14;
+constexpr int kEvents = 40;
 constexpr absl::Duration kDeadline = absl::Seconds(14);
-
-// A time and a number, as logs of events commonly have them; both parts only grow.
-std::string EventId(int number) { return absl::StrCat("1765065600000-", 100 + number); }
+// ORDER breaks when more streams than this hold events of two versions.
+constexpr int kAllowed = 2;
+// The store is down for 4.5 s.
+constexpr absl::Duration kOutage = absl::Milliseconds(4500);
 
 Attempt Stream(int number) {
   Attempt attempt;
@@ -34,15 +35,8 @@
   return attempt;
 }
 
-// Events that came more than once.
-int Repeated(const std::string& body) {
-  std::map<std::string, int> counts;
-  for (absl::string_view line : absl::StrSplit(body, '\n')) {
-    if (absl::StartsWith(line, "id: ")) ++counts[std::string(line)];
-  }
-  int repeated = 0;
-  for (const auto& [id, count] : counts) repeated += count > 1 ? 1 : 0;
-  return repeated;
+bool IsJoined(const std::string& body) {
+  return absl::StrContains(body, "data: v1") && absl::StrContains(body, "data: v2");
 }
 
 int Play(Record& record) {
@@ -59,21 +53,36 @@
   };
   Deployment deployment(options, record);
   std::map<std::string, std::unique_ptr<Engine>> engines;
+  const auto announce = [&](const std::string& id) {
+    deployment.store().Put("keyed.servers", id, engines[id]->Entry());
+  };
   deployment.Run([&] {
     for (const std::string id : {"d1", "d2"}) {
       EngineOptions engine;
       engine.id = id;
       engine.events = kEvents;
-      engine.event_id = EventId;
+      engine.event_id = [](int number) { return absl::StrCat(number); };
       engines[id] = std::make_unique<Engine>(deployment.io(), engine, record);
-      deployment.store().Put("keyed.servers", id, engines[id]->Entry());
+      announce(id);
     }
   });
   for (int i = 0; i < options.vms; ++i) deployment.StartVm(i);
   for (int i = 0; i < options.vms; ++i) {
     if (!deployment.AwaitReady(i)) return kCouldNotRun;
   }
-  absl::SleepFor(absl::Seconds(3));
+  absl::SleepFor(absl::Seconds(4));
+  const absl::Time down = absl::Now();
+  const auto at = [&](absl::Duration after) { absl::SleepFor(down + after - absl::Now()); };
+  if (PlaysTrouble()) {
+    record.Line("the store is down");
+    deployment.Run([&] {
+      deployment.store().set_mode(testing::StoreMode::kBusy);
+      engines["d1"]->Crash();
+    });
+    at(absl::Seconds(1));
+    deployment.Run([&] { engines["d1"]->Restart("v2"); });
+  }
+  at(absl::Milliseconds(2300));
   std::vector<Outcome> outcomes(kStreams);
   std::vector<std::thread> threads;
   for (int i = 0; i < kStreams; ++i) {
@@ -81,24 +90,33 @@
       outcomes[static_cast<std::size_t>(i)] = deployment.Send(i % options.vms, Stream(i));
     });
   }
-  absl::SleepFor(absl::Milliseconds(800));
-  if (PlaysTrouble()) deployment.Run([&] { engines["d1"]->Crash(); });
+  at(absl::Milliseconds(3200));
+  if (PlaysTrouble()) deployment.Run([&] { engines["d2"]->Crash(); });
+  at(kOutage);
+  if (PlaysTrouble()) {
+    record.Line("the store is back, and d1 writes its entry");
+    deployment.Run([&] {
+      deployment.store().set_mode(testing::StoreMode::kUp);
+      announce("d1");
+    });
+  }
   for (auto& thread : threads) thread.join();
-  int broken = 0;
+  int joined = 0;
   int whole = 0;
   for (const Outcome& outcome : outcomes) {
-    const int repeated = Repeated(outcome.response.body);
-    if (outcome.response.complete() && repeated == 0) ++whole;
-    if (repeated == 0) continue;
-    ++broken;
-    record.Line(absl::StrCat(
-        outcome.id, " holds ", repeated, " events twice, ",
-        outcome.response.complete() ? "and ends as complete" : "and breaks off", ": ORDER"));
+    if (IsJoined(outcome.response.body)) {
+      ++joined;
+      record.Line(absl::StrCat(outcome.id, " holds events of v1 and of v2, and ",
+                               outcome.response.complete() ? "ends as complete" : "breaks off"));
+    } else if (outcome.response.complete() && outcome.response.status == 200) {
+      ++whole;
+    }
   }
   deployment.Run([&] { engines.clear(); });
-  record.Line(absl::StrCat(whole, " whole, ", broken, " with repeated events, of ", kStreams));
-  std::printf("%d whole, %d with repeated events, of %d\n", whole, broken, kStreams);
-  return broken > 0 ? kBroken : kHeld;
+  record.Line(absl::StrCat(whole, " whole of one version, ", joined, " of two versions, of ",
+                           kStreams, joined > kAllowed ? ": ORDER" : ""));
+  std::printf("%d whole of one version, %d of two versions, of %d\n", whole, joined, kStreams);
+  return joined > kAllowed ? kBroken : kHeld;
 }
 
 }  // namespace
