Resolve take-ups only by a list of engines from after the take-up

Report: during a release one VM was out of step (cut off or standing still) while servers of a new software version joined; streams that had begun there through other VMs were taken up at that VM and went on at another version (ORDER).

Cause: StreamVersions::HasSoleVersion concluded from the list as this VM held it that no other version existed, whatever the age of the list. A grant that never reached its VM counted as the version that began the stream, and a version that came and went between two lists left no trace.

Change: the sole version counts only with a list asked for at the store after the take-up arrived (the age of the take-up goes with the message); a gap of over 1 s between lists makes the store's history of versions count, read after the gap; a record counts once the first event was reported. Take-ups of plain streams wait for a list from after they came. Without one, both get a true 503.

Tests that changed: stream_versions_test reads lists as it goes and says when a stream has begun, as the class needs both now; its checks are the same.

--- a/apps/marigoldquayd/platform_node.cc
+++ b/apps/marigoldquayd/platform_node.cc
@@ -157,17 +157,18 @@
         presence_(
             io_, clock_, store_, self_, [this] { return NeedsMembers(); },
             [this] { return link_.ShouldAnnounce(); }, [this] { OnMemberList(); }),
-        coordinator_(io_, clock_, view_, presence_, self_,
-                     {[this] { return std::max(OwnOrigin(), ForwardedOrigin()); },
-                      [this] { return link_.confirmed_coordinator(); },
-                      [this](const BackendServerId& id) { OnLeavingServer(id); },
-                      [this](const StatedRequestLimit& stated) { OnRequestLimit(stated); },
-                      [this](const ServerDeparture& departure) { OnDeparture(departure); },
-                      [this](std::uint64_t version, const std::string& record) {
-                        // A report does not say that the version is the newest one.
-                        OnCatalog(version, record, DataOrigin());
-                      }},
-                     session_memory_),
+        coordinator_(
+            io_, clock_, view_, presence_, self_,
+            {[this] { return std::max(OwnOrigin(), ForwardedOrigin()); },
+             [this] { return ServersOrigin(); }, [this] { return link_.confirmed_coordinator(); },
+             [this](const BackendServerId& id) { OnLeavingServer(id); },
+             [this](const StatedRequestLimit& stated) { OnRequestLimit(stated); },
+             [this](const ServerDeparture& departure) { OnDeparture(departure); },
+             [this](std::uint64_t version, const std::string& record) {
+               // A report does not say that the version is the newest one.
+               OnCatalog(version, record, DataOrigin());
+             }},
+            session_memory_),
         link_(io_, clock_, view_, presence_, *this,
               {[this] { return Self(); }, [this] { return OwnOrigin(); },
                [this] { return store_.era(); },
@@ -186,6 +187,7 @@
         front_({io_, clock_, view_, dialect_, connections_, health_, balancer_, budgets_, link_,
                 link_, link_, [this] { return link_.member_count(); },
                 [this] { return catalog_follower_.confirmed_at(); },
+                [this] { return ServersOrigin().read_at; },
                 [this](const BackendServerId& id) { OnLeavingServer(id); },
                 [this](const StatedRequestLimit& stated) { OnRequestLimit(stated); }}),
         directory_(
@@ -275,6 +277,11 @@
     return std::min(link_.feed_origin(), catalog_follower_.confirmed());
   }
 
+  // When the list of servers that this VM holds was read, by itself or by another VM.
+  DataOrigin ServersOrigin() const {
+    return std::max(replica_follower_.origin(), link_.feed_origin());
+  }
+
   // Engines change only on the word of a VM that coordinates and sees the present list.
   bool MayOrder() const {
     return !draining_ && link_.FeedsOthers() && presence_.settled() &&
--- a/packages/dispatch/include/marigoldquay/dispatch/stream_scheduler.h
+++ b/packages/dispatch/include/marigoldquay/dispatch/stream_scheduler.h
@@ -133,6 +133,8 @@
   void VisitBegun(std::uint64_t ticket, absl::Time before,
                   const std::function<void(const StreamDemand&, absl::Time)>& visit) const;
 
+  /// The request of a ticket that was granted or adopted here; nullopt for others.
+  std::optional<RequestId> RequestOf(std::uint64_t ticket) const;
   /// The request of a ticket that was granted here and has sent no event; nullopt for others.
   std::optional<RequestId> RequestWithoutEvents(std::uint64_t ticket) const;
 
--- a/packages/dispatch/include/marigoldquay/dispatch/stream_versions.h
+++ b/packages/dispatch/include/marigoldquay/dispatch/stream_versions.h
@@ -3,7 +3,9 @@
 //
 // A request that is not in the table is resolved only while all streams that callers can still take
 // up must have begun at the same version. Otherwise its version is unknown: a wrong one would join
-// two texts that do not fit together.
+// two texts that do not fit together. That no other version has begun streams follows only from a
+// list of engines that was asked for after the take-up arrived, and from lists without a gap before
+// it: a VM that stood still or was cut off holds a list from before other versions joined.
 #ifndef MARIGOLDQUAY_DISPATCH_STREAM_VERSIONS_H_
 #define MARIGOLDQUAY_DISPATCH_STREAM_VERSIONS_H_
 
@@ -69,7 +71,7 @@
   enum class Verdict {
     kKnown,
     kUnknown,
-    /// The store's records have not been read yet.
+    /// The store's records, or a list of engines recent enough, have not been read yet.
     kNotYet,
   };
   Verdict verdict = Verdict::kUnknown;
@@ -86,6 +88,9 @@
   static constexpr std::size_t kMaxRecords = 50'000;
   /// Longest time for which new streams avoid a version that the store's history lacks.
   static constexpr absl::Duration kMaxGateTime = absl::Seconds(1);
+  /// Longest time between two reads of the list in which no version can have come and gone unseen:
+  /// the least time for which the store keeps the entry of a server.
+  static constexpr absl::Duration kMaxListGap = absl::Seconds(1);
 
   /// Sets the time in which callers may come back to a stream of the service. It never shrinks, as
   /// streams that began before may still be taken up.
@@ -97,11 +102,17 @@
   /// all servers may have lapsed. An engine that has another version since its last start makes the
   /// streams that it had unknown: either version may have begun them.
   void SetListed(const std::string& service, std::span<const Replica> engines, absl::Time now);
+  /// The engines that this VM lists are those of a read of the store asked for at `asked_at`. After
+  /// a gap, the store's history has to be read again to tell what was missed.
+  void OnListRead(absl::Time asked_at);
   /// Records the version of an engine reserved for a request that no other engine has run; replaces
-  /// what is known of the request.
+  /// what is known of the request. The version is known once the stream has begun.
   void Record(const std::string& service, const RequestId& request, const SoftwareVersion& version,
               const BackendServerId& engine, absl::Time now);
 
+  /// The reserved engine has sent the first event. Until then the VM of the request may have lost
+  /// the grant and had the request placed elsewhere.
+  void OnBegun(const std::string& service, const RequestId& request);
   /// The reservation was not used, or it is not known whether: the version of the request becomes
   /// unknown.
   void Withdraw(const std::string& service, const RequestId& request);
@@ -110,10 +121,10 @@
   std::optional<SoftwareVersion> VersionToKeep(const std::string& service,
                                                const RequestId& request) const;
 
-  /// The version that began the stream. `request` brought its first event; empty when the caller
-  /// does not name it.
+  /// The version that began the stream that a caller took up at `taken_up_at`. `request` brought
+  /// its first event; empty when the caller does not name it.
   VersionResolution Resolve(const std::string& service, const RequestId& request,
-                            absl::Time now) const;
+                            absl::Time taken_up_at, absl::Time now) const;
   /// Whether the version may begin streams; see kMaxGateTime.
   bool MayBegin(const std::string& service, const SoftwareVersion& version, absl::Time now) const;
 
@@ -152,6 +163,8 @@
     absl::Time recorded_at;
     // The coordinator that recorded it; empty for this VM.
     std::string writer;
+    // Whether the stream has begun at this version. Taken to be so for records of other VMs.
+    bool begun = false;
   };
   struct Change {
     StreamKey stream = 0;
@@ -183,12 +196,20 @@
     std::deque<StreamKey> unsaved;
   };
 
-  static bool HasSoleVersion(const Service& service, absl::Time now);
+  // Whether every stream that can be taken up began at the only version listed when the list was
+  // last read.
+  bool HasSoleVersion(const Service& service, absl::Time now) const;
   static void Put(Service& service, StreamKey stream, Entry entry);
   static void DropOldest(Service& service);
   static void MarkUnknown(Service& service, const BackendServerId& engine);
 
   std::map<std::string, Service> services_;
+  // When the newest list was asked for, and the first of those without a gap up to it.
+  absl::Time list_read_at_ = absl::InfinitePast();
+  absl::Time read_without_gap_since_ = absl::InfinitePast();
+  // Whether there was a gap since the start of this VM.
+  bool had_gap_ = false;
+  // Whether the store's records have been read since the last gap.
   bool loaded_ = false;
   // Whether a service without a record has had no other version than the first one listed.
   bool bootstrap_ = false;
--- a/packages/dispatch/src/stream_scheduler.cc
+++ b/packages/dispatch/src/stream_scheduler.cc
@@ -376,6 +376,12 @@
   }
 }
 
+std::optional<RequestId> StreamScheduler::RequestOf(std::uint64_t ticket) const {
+  const auto found = placed_.find(ticket);
+  if (found == placed_.end()) return std::nullopt;
+  return found->second.demand.request;
+}
+
 std::optional<RequestId> StreamScheduler::RequestWithoutEvents(std::uint64_t ticket) const {
   const auto found = placed_.find(ticket);
   if (found == placed_.end()) return std::nullopt;
--- a/packages/dispatch/src/stream_versions.cc
+++ b/packages/dispatch/src/stream_versions.cc
@@ -38,6 +38,18 @@
   known.since = never_changed ? absl::InfinitePast() : now;
 }
 
+void StreamVersions::OnListRead(absl::Time asked_at) {
+  if (asked_at <= list_read_at_) return;
+  const absl::Time last = std::exchange(list_read_at_, asked_at);
+  if (asked_at - last <= kMaxListGap) return;
+  read_without_gap_since_ = asked_at;
+  if (last == absl::InfinitePast()) return;
+  had_gap_ = true;
+  loaded_ = false;
+  // Otherwise a record that the store has lost since would still count.
+  for (auto& [name, service] : services_) service.has_record = false;
+}
+
 void StreamVersions::DropOldest(Service& service) {
   const Change oldest = service.changes.front();
   service.changes.pop_front();
@@ -59,11 +71,21 @@
   if (request.empty()) return;
   Service& known = services_[service];
   const StreamKey stream = StreamKeyOf(request);
-  Put(known, stream, {version, engine, now, ""});
+  const auto last = known.streams.find(stream);
+  // A stream that is placed again goes on at the version that began it.
+  const bool begun =
+      last != known.streams.end() && last->second.begun && last->second.version == version;
+  Put(known, stream, {version, engine, now, "", begun});
   known.unsaved.push_back(stream);
   if (known.unsaved.size() > kMaxRecords) known.unsaved.pop_front();
 }
 
+void StreamVersions::OnBegun(const std::string& service, const RequestId& request) {
+  Service& known = services_[service];
+  const auto found = known.streams.find(StreamKeyOf(request));
+  if (found != known.streams.end()) found->second.begun = true;
+}
+
 void StreamVersions::Withdraw(const std::string& service, const RequestId& request) {
   Service& known = services_[service];
   const StreamKey stream = StreamKeyOf(request);
@@ -96,31 +118,34 @@
   while (service.unsaved.size() > kMaxRecords) service.unsaved.pop_front();
 }
 
-bool StreamVersions::HasSoleVersion(const Service& service, absl::Time now) {
-  return service.versions.size() == 1 && now - service.since >= service.recall;
+bool StreamVersions::HasSoleVersion(const Service& service, absl::Time now) const {
+  // Before the store's records are read, only what this VM has seen itself counts.
+  const absl::Time since =
+      loaded_ ? service.since : std::max(service.since, read_without_gap_since_);
+  return service.versions.size() == 1 && now - since >= service.recall;
 }
 
 VersionResolution StreamVersions::Resolve(const std::string& service, const RequestId& request,
-                                          absl::Time now) const {
+                                          absl::Time taken_up_at, absl::Time now) const {
   using Verdict = VersionResolution::Verdict;
   const auto found = services_.find(service);
   if (found == services_.end()) return {loaded_ ? Verdict::kUnknown : Verdict::kNotYet, ""};
   const Service& known = found->second;
   const auto stream = known.streams.find(StreamKeyOf(request));
   if (!request.empty() && stream != known.streams.end()) {
-    const auto& version = stream->second.version;
-    return version ? VersionResolution{Verdict::kKnown, *version}
-                   : VersionResolution{Verdict::kUnknown, ""};
+    const Entry& entry = stream->second;
+    if (!entry.version) return {Verdict::kUnknown, ""};
+    if (entry.begun) return {Verdict::kKnown, *entry.version};
   }
-  // Also before the store's records were read, when this VM has seen one version for long enough.
-  if (HasSoleVersion(known, now)) return {Verdict::kKnown, *known.versions.begin()};
-  return {loaded_ ? Verdict::kUnknown : Verdict::kNotYet, ""};
+  const bool has_sole = HasSoleVersion(known, now);
+  if (has_sole && list_read_at_ >= taken_up_at) return {Verdict::kKnown, *known.versions.begin()};
+  return {has_sole || !loaded_ ? Verdict::kNotYet : Verdict::kUnknown, ""};
 }
 
 bool StreamVersions::MayBegin(const std::string& service, const SoftwareVersion& version,
                               absl::Time now) const {
   const auto found = services_.find(service);
-  if (!loaded_ || found == services_.end() || !found->second.saved) return true;
+  if (found == services_.end() || !found->second.saved) return true;
   const Service& known = found->second;
   const auto& saved = known.saved->versions;
   if (saved.contains(version)) return true;
@@ -147,7 +172,7 @@
   if (now - origins.recorded_at > known.recall) return;
   const std::string writer(origins.writer == own_writer ? "" : origins.writer);
   for (const StreamOrigin& origin : origins.streams) {
-    Entry entry{origin.version, "", origins.recorded_at, writer};
+    Entry entry{origin.version, "", origins.recorded_at, writer, /*begun=*/true};
     const auto found = known.streams.find(origin.stream);
     if (found != known.streams.end() && found->second.writer.empty() && writer.empty()) continue;
     // One writer corrects itself. Two that disagree have no order.
@@ -161,7 +186,7 @@
 void StreamVersions::FinishLoading(bool bootstrap, absl::Time now) {
   for (auto& [name, service] : services_) {
     if (service.has_record) continue;
-    const bool never_changed = bootstrap && service.versions.size() == 1;
+    const bool never_changed = bootstrap && !had_gap_ && service.versions.size() == 1;
     service.since = never_changed ? service.last_change : now;
   }
   loaded_ = true;
--- a/packages/dispatch/tests/stream_versions_test.cc
+++ b/packages/dispatch/tests/stream_versions_test.cc
@@ -30,11 +30,19 @@
 
 struct Fixture {
   StreamVersions versions;
+  absl::Time last_read = kStart;
 
   Fixture() { versions.SetRecallTime(kService, kRecall); }
+  // Sets a list that was asked for at `at`, as all lists since the one before were.
   void List(const std::vector<Replica>& engines, absl::Time at) {
+    ReadListsUntil(at);
     versions.SetListed(kService, engines, at);
   }
+  void ReadListsUntil(absl::Time at) {
+    for (; last_read < at; last_read += StreamVersions::kMaxListGap) versions.OnListRead(last_read);
+    versions.OnListRead(at);
+    last_read = at;
+  }
   void StartWith(const std::vector<Replica>& engines, bool bootstrap) {
     List(engines, kStart);
     versions.FinishLoading(bootstrap, kStart);
@@ -43,13 +51,20 @@
   void SaveHistories() {
     for (const auto& history : versions.UnsavedHistories()) versions.OnHistorySaved(history);
   }
+  // Records a stream that has begun.
   void Record(const std::string& request, const std::string& version, absl::Time at,
               const std::string& engine = "a") {
     versions.Record(kService, request, version, engine, at);
+    versions.OnBegun(kService, request);
+  }
+  // The version, or how the resolution failed, by a list that was asked for at the take-up.
+  std::string Resolve(const std::string& request, absl::Time at) {
+    ReadListsUntil(at);
+    return ResolveByOldList(request, at);
   }
-  // The version, or how the resolution failed.
-  std::string Resolve(const std::string& request, absl::Time at) const {
-    const auto resolution = versions.Resolve(kService, request, at);
+  // The same by the last list.
+  std::string ResolveByOldList(const std::string& request, absl::Time at) const {
+    const auto resolution = versions.Resolve(kService, request, at, at);
     if (resolution.verdict == Verdict::kNotYet) return "not yet";
     return resolution.verdict == Verdict::kKnown ? resolution.version : "unknown";
   }
@@ -151,7 +166,66 @@
   versions.Withdraw(kService, "other");
   BOOST_TEST(Resolve("r", kStart) == "unknown");
   SaveOriginsTo(next, "first", kStart);
-  BOOST_TEST((next.Resolve(kService, "r", kStart).verdict == Verdict::kUnknown));
+  BOOST_TEST((next.Resolve(kService, "r", kStart, kStart).verdict == Verdict::kUnknown));
+}
+
+// Guards against a coordinator that stood still between its grant and the first event: the VM has
+// had the request placed elsewhere, perhaps at another version.
+BOOST_AUTO_TEST_CASE(granted_stream_is_unknown_until_it_has_begun) {
+  StartWith(kMixed, true);
+  versions.Record(kService, "r", "1", "a", kStart);
+  BOOST_TEST(Resolve("r", kStart) == "unknown");
+  versions.OnBegun(kService, "r");
+  BOOST_TEST(Resolve("r", kStart) == "1");
+  // Its VM has it placed again to let it go on.
+  versions.Record(kService, "r", "1", "b", kStart);
+  BOOST_TEST(Resolve("r", kStart) == "1");
+}
+
+// Guards against a VM that stood still or was cut off while a second version joined, and takes up
+// streams of that version by the list that it still has.
+BOOST_AUTO_TEST_CASE(sole_version_follows_only_from_a_list_from_after_the_take_up) {
+  StartWith(kOld, true);
+  const absl::Time cut_off = kStart + absl::Seconds(60);
+  BOOST_TEST(Resolve("any", cut_off) == "1");
+  BOOST_TEST(ResolveByOldList("any", cut_off + absl::Milliseconds(100)) == "not yet");
+  BOOST_TEST(ResolveByOldList("any", cut_off + absl::Seconds(5)) == "not yet");
+}
+
+// Guards against a second version that came and went in between, of which only the store's history
+// tells.
+BOOST_AUTO_TEST_CASE(gap_between_two_lists_makes_the_history_count) {
+  StartWith(kOld, true);
+  const absl::Time woken = kStart + absl::Seconds(60);
+  ReadListsUntil(woken - absl::Seconds(5));
+  versions.OnListRead(woken);
+  versions.SetListed(kService, kOld, woken);
+  BOOST_TEST(!versions.loaded());
+  BOOST_TEST(ResolveByOldList("any", woken) == "not yet");
+  const absl::Time mixed = woken - absl::Seconds(2);
+  versions.LoadHistory({kService, {"1"}, mixed}, true, woken);
+  versions.FinishLoading(true, woken);
+  BOOST_TEST(ResolveByOldList("any", woken) == "unknown");
+  last_read = woken;
+  BOOST_TEST(Resolve("any", mixed + kRecall) == "1");
+}
+
+BOOST_AUTO_TEST_CASE(gap_without_another_version_is_bridged_by_the_history) {
+  StartWith(kOld, true);
+  const absl::Time woken = kStart + absl::Seconds(60);
+  versions.OnListRead(woken);
+  versions.LoadHistory({kService, {"1"}, kStart}, true, woken);
+  versions.FinishLoading(false, woken);
+  BOOST_TEST(ResolveByOldList("any", woken) == "1");
+}
+
+// Guards against a gap that is taken for the first start of the system.
+BOOST_AUTO_TEST_CASE(gap_without_a_history_leaves_streams_unknown) {
+  StartWith(kOld, true);
+  const absl::Time woken = kStart + absl::Seconds(60);
+  versions.OnListRead(woken);
+  versions.FinishLoading(true, woken);
+  BOOST_TEST(ResolveByOldList("any", woken) == "unknown");
 }
 
 // Guards against take-ups that are refused while the store cannot be read, though this VM has seen
@@ -256,10 +330,11 @@
   RestartFixture() { restarted.SetRecallTime(kService, kRecall); }
   std::string ResolveAfter(const VersionHistory& history, bool is_current,
                            const std::vector<Replica>& engines) {
+    restarted.OnListRead(later);
     restarted.SetListed(kService, engines, later);
     restarted.LoadHistory(history, is_current, later);
     restarted.FinishLoading(false, later);
-    const auto resolution = restarted.Resolve(kService, "any", later);
+    const auto resolution = restarted.Resolve(kService, "any", later, later);
     return resolution.verdict == Verdict::kKnown ? resolution.version : "unknown";
   }
 };
@@ -288,7 +363,7 @@
 BOOST_FIXTURE_TEST_CASE(restart_without_a_history_leaves_streams_unknown, RestartFixture) {
   restarted.SetListed(kService, kOld, later);
   restarted.FinishLoading(false, later);
-  BOOST_TEST((restarted.Resolve(kService, "any", later).verdict == Verdict::kUnknown));
+  BOOST_TEST((restarted.Resolve(kService, "any", later, later).verdict == Verdict::kUnknown));
 }
 
 // Guards against take-ups that are refused after a loss of power although the store holds them.
@@ -298,8 +373,8 @@
   Record("new", "2", kStart, "c");
   SaveOriginsTo(restarted, "vm-1", kStart);
   restarted.FinishLoading(false, kStart);
-  BOOST_TEST(restarted.Resolve(kService, "old", kStart).version == "1");
-  BOOST_TEST(restarted.Resolve(kService, "new", kStart).version == "2");
+  BOOST_TEST(restarted.Resolve(kService, "old", kStart, kStart).version == "1");
+  BOOST_TEST(restarted.Resolve(kService, "new", kStart, kStart).version == "2");
 }
 
 // Guards against taking one of two coordinators at its word when they disagree on a stream.
@@ -310,9 +385,9 @@
   };
   load("vm-1", "1");
   load("vm-1", "2");
-  BOOST_TEST(restarted.Resolve(kService, "r", kStart).version == "2");
+  BOOST_TEST(restarted.Resolve(kService, "r", kStart, kStart).version == "2");
   load("vm-2", "1");
-  BOOST_TEST((restarted.Resolve(kService, "r", kStart).verdict == Verdict::kUnknown));
+  BOOST_TEST((restarted.Resolve(kService, "r", kStart, kStart).verdict == Verdict::kUnknown));
 }
 
 // Guards against records that stay lost when the store comes back from an older copy.
--- a/packages/fleet/include/marigoldquay/fleet/coordinator.h
+++ b/packages/fleet/include/marigoldquay/fleet/coordinator.h
@@ -42,6 +42,8 @@
 struct CoordinatorHooks {
   /// Origin of the store data that this VM holds, read by itself or by another VM.
   std::function<DataOrigin()> data_origin;
+  /// As data_origin, for the list of backend servers alone.
+  std::function<DataOrigin()> servers_origin;
   /// The coordinator that this VM itself reports to, once that VM has confirmed its role.
   std::function<std::optional<FleetMember>()> followed_member;
   /// Called when a VM reports that a backend server is leaving.
@@ -91,6 +93,9 @@
 
   /// Versions that began the streams placed here; kept in the store by StreamVersionKeeper.
   StreamVersions& stream_versions() { return versions_; }
+  /// Notes when the list of engines was last asked for. To be called regularly while this VM places
+  /// streams, as a gap between two reads hides changes of the versions.
+  void NoteListRead() { versions_.OnListRead(hooks_.servers_origin().read_at); }
   /// Called after the store has acknowledged a history or some time has passed: versions may begin
   /// streams now that could not before.
   void OnVersionsAdmitted();
@@ -170,11 +175,13 @@
   // Requires the version that began the stream which the request takes up. Fills `refusal` and
   // returns false when it is unknown.
   bool RequireOrigin(const protocol::PlaceStreamRequestT& request, StreamDemand& demand,
-                     protocol::PlaceStreamReplyT& refusal) const;
+                     protocol::PlaceStreamReplyT& refusal);
   // The placement ends; forgets its version unless its stream has begun.
   void WithdrawOrigin(const std::string& service, std::uint64_t ticket);
   void RecordOrigin(const std::string& service, const std::string& request_id,
                     const StreamDecision& decision);
+  // The stream of the ticket has begun at the engine reserved for it.
+  void RecordBegin(const std::string& service, std::uint64_t ticket);
   // Tells `versions_` of the engines and of the time in which callers come back.
   void UpdateVersions(const Catalog& catalog);
   // Engines of the service whose version may begin streams.
--- a/packages/fleet/src/coordinator.cc
+++ b/packages/fleet/src/coordinator.cc
@@ -314,6 +314,7 @@
     if (request.has_software_version) {
       versions_.Record(request.service, request.request_id, request.software_version,
                        request.running_on, now);
+      if (request.streaming_ms > 0) versions_.OnBegun(request.service, request.request_id);
     }
     const auto ticket = scheduler.Adopt(DemandFromWire(request, now), request.running_on, now);
     session.tickets.insert({request.service, ticket});
@@ -409,6 +410,7 @@
       scheduler.OnPrefillEnd(message.ticket, false, now);
       break;
     case protocol::StreamStep::FirstEvent:
+      RecordBegin(message.service, message.ticket);
       scheduler.OnFirstEvent(message.ticket, now);
       break;
     case protocol::StreamStep::Done:
--- a/packages/fleet/src/coordinator_link.cc
+++ b/packages/fleet/src/coordinator_link.cc
@@ -167,6 +167,11 @@
     request.demand.software_version = active.software_version;
     auto message = ToWire(request, clock_.Now());
     message.running_on = active.decode;
+    if (active.first_event <= clock_.Now()) {
+      const absl::Duration streaming = clock_.Now() - active.first_event;
+      message.streaming_ms = static_cast<std::uint32_t>(
+          std::max<std::int64_t>(absl::ToInt64Milliseconds(streaming), 1));
+    }
     const std::uint64_t call_id = next_call_++;
     detached_calls_[call_id] = {active.service, id};
     connection_->Send(protocol::MessageType::PlaceStream, call_id, message);
--- a/packages/fleet/src/coordinator_versions.cc
+++ b/packages/fleet/src/coordinator_versions.cc
@@ -69,9 +69,12 @@
 }
 
 bool Coordinator::RequireOrigin(const protocol::PlaceStreamRequestT& request, StreamDemand& demand,
-                                protocol::PlaceStreamReplyT& refusal) const {
+                                protocol::PlaceStreamReplyT& refusal) {
   if (!request.is_take_up || demand.software_version) return true;
-  const auto resolution = versions_.Resolve(request.service, request.resumes, clock_.Now());
+  NoteListRead();
+  const absl::Time now = clock_.Now();
+  const absl::Time taken_up_at = now - absl::Milliseconds(request.take_up_age_ms);
+  const auto resolution = versions_.Resolve(request.service, request.resumes, taken_up_at, now);
   refusal.status = protocol::PlaceStreamStatus::Refused;
   switch (resolution.verdict) {
     case VersionResolution::Verdict::kKnown:
@@ -86,7 +89,8 @@
       CountTakeUp("unknown");
       break;
     case VersionResolution::Verdict::kNotYet:
-      refusal.reason = "the records of software versions have not been read yet";
+      refusal.reason =
+          "the software versions in the store have not been read since the request came";
       refusal.provisional = true;
       refusal.retry_after_ms =
           static_cast<std::uint32_t>(absl::ToInt64Milliseconds(kNotYetRetryAfter));
@@ -110,6 +114,11 @@
   versions_.Record(service, request_id, decode->software_version, decode->id, clock_.Now());
 }
 
+void Coordinator::RecordBegin(const std::string& service, std::uint64_t ticket) {
+  const auto request = SchedulerFor(service).RequestOf(ticket);
+  if (request) versions_.OnBegun(service, *request);
+}
+
 // A VM that got the grant too late has placed the request on its own, perhaps at another version.
 void Coordinator::WithdrawOrigin(const std::string& service, std::uint64_t ticket) {
   const auto request = SchedulerFor(service).RequestWithoutEvents(ticket);
--- a/packages/fleet/src/stream_version_keeper.cc
+++ b/packages/fleet/src/stream_version_keeper.cc
@@ -150,6 +150,7 @@
         .Set(static_cast<std::int64_t>(versions.stream_count()));
     bool succeeded = true;
     if (options_.places_streams()) {
+      coordinator_.NoteListRead();
       succeeded = Synchronize(yield);
     } else {
       versions.Unload();
--- a/packages/fleet/src/wire.cc
+++ b/packages/fleet/src/wire.cc
@@ -199,6 +199,10 @@
   wire.software_version = request.demand.software_version.value_or("");
   wire.is_take_up = request.resumes.has_value();
   wire.resumes = request.resumes.value_or("");
+  if (request.resumes && request.taken_up_at <= now) {
+    wire.take_up_age_ms =
+        static_cast<std::uint32_t>(absl::ToInt64Milliseconds(now - request.taken_up_at));
+  }
   return wire;
 }
 
--- a/packages/fleet/tests/wire_test.cc
+++ b/packages/fleet/tests/wire_test.cc
@@ -42,6 +42,18 @@
   BOOST_TEST(ToWire(request, kNow).resumes == "r1");
 }
 
+// Guards against a take-up that is judged by a list of engines from before it arrived.
+BOOST_AUTO_TEST_CASE(placement_keeps_the_age_of_the_take_up) {
+  StreamPlacementRequest request;
+  request.service = "llm";
+  request.resumes = "r1";
+  BOOST_TEST(ToWire(request, kNow).take_up_age_ms == 0U);
+  request.taken_up_at = kNow - absl::Milliseconds(250);
+  BOOST_TEST(ToWire(request, kNow).take_up_age_ms == 250U);
+  request.resumes.reset();
+  BOOST_TEST(ToWire(request, kNow).take_up_age_ms == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/packages/protocol/include/marigoldquay/protocol/inner_generated.h
+++ b/packages/protocol/include/marigoldquay/protocol/inner_generated.h
@@ -6203,6 +6203,7 @@
   bool is_take_up = false;
   std::string resumes{};
   uint32_t streaming_ms = 0;
+  uint32_t take_up_age_ms = 0;
 };
 
 struct PlaceStreamRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -6231,7 +6232,8 @@
     VT_SOFTWARE_VERSION = 34,
     VT_IS_TAKE_UP = 36,
     VT_RESUMES = 38,
-    VT_STREAMING_MS = 40
+    VT_STREAMING_MS = 40,
+    VT_TAKE_UP_AGE_MS = 42
   };
   const flatbuffers::String *request_id() const {
     return GetPointer<const flatbuffers::String *>(VT_REQUEST_ID);
@@ -6290,6 +6292,9 @@
   uint32_t streaming_ms() const {
     return GetField<uint32_t>(VT_STREAMING_MS, 0);
   }
+  uint32_t take_up_age_ms() const {
+    return GetField<uint32_t>(VT_TAKE_UP_AGE_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_REQUEST_ID) &&
@@ -6322,6 +6327,7 @@
            VerifyOffset(verifier, VT_RESUMES) &&
            verifier.VerifyString(resumes()) &&
            VerifyField<uint32_t>(verifier, VT_STREAMING_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_TAKE_UP_AGE_MS, 4) &&
            verifier.EndTable();
   }
   PlaceStreamRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -6390,6 +6396,9 @@
   void add_streaming_ms(uint32_t streaming_ms) {
     fbb_.AddElement<uint32_t>(PlaceStreamRequest::VT_STREAMING_MS, streaming_ms, 0);
   }
+  void add_take_up_age_ms(uint32_t take_up_age_ms) {
+    fbb_.AddElement<uint32_t>(PlaceStreamRequest::VT_TAKE_UP_AGE_MS, take_up_age_ms, 0);
+  }
   explicit PlaceStreamRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -6423,11 +6432,13 @@
     flatbuffers::Offset<flatbuffers::String> software_version = 0,
     bool is_take_up = false,
     flatbuffers::Offset<flatbuffers::String> resumes = 0,
-    uint32_t streaming_ms = 0) {
+    uint32_t streaming_ms = 0,
+    uint32_t take_up_age_ms = 0) {
   PlaceStreamRequestBuilder builder_(_fbb);
   builder_.add_output_tokens(output_tokens);
   builder_.add_prompt_tokens(prompt_tokens);
   builder_.add_charge(charge);
+  builder_.add_take_up_age_ms(take_up_age_ms);
   builder_.add_streaming_ms(streaming_ms);
   builder_.add_resumes(resumes);
   builder_.add_software_version(software_version);
@@ -6472,7 +6483,8 @@
     const char *software_version = nullptr,
     bool is_take_up = false,
     const char *resumes = nullptr,
-    uint32_t streaming_ms = 0) {
+    uint32_t streaming_ms = 0,
+    uint32_t take_up_age_ms = 0) {
   auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
@@ -6503,7 +6515,8 @@
       software_version__,
       is_take_up,
       resumes__,
-      streaming_ms);
+      streaming_ms,
+      take_up_age_ms);
 }
 
 flatbuffers::Offset<PlaceStreamRequest> CreatePlaceStreamRequest(flatbuffers::FlatBufferBuilder &_fbb, const PlaceStreamRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -9540,7 +9553,8 @@
       (lhs.software_version == rhs.software_version) &&
       (lhs.is_take_up == rhs.is_take_up) &&
       (lhs.resumes == rhs.resumes) &&
-      (lhs.streaming_ms == rhs.streaming_ms);
+      (lhs.streaming_ms == rhs.streaming_ms) &&
+      (lhs.take_up_age_ms == rhs.take_up_age_ms);
 }
 
 inline bool operator!=(const PlaceStreamRequestT &lhs, const PlaceStreamRequestT &rhs) {
@@ -9576,6 +9590,7 @@
   { auto _e = is_take_up(); _o->is_take_up = _e; }
   { auto _e = resumes(); if (_e) _o->resumes = _e->str(); }
   { auto _e = streaming_ms(); _o->streaming_ms = _e; }
+  { auto _e = take_up_age_ms(); _o->take_up_age_ms = _e; }
 }
 
 inline flatbuffers::Offset<PlaceStreamRequest> PlaceStreamRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceStreamRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -9605,6 +9620,7 @@
   auto _is_take_up = _o->is_take_up;
   auto _resumes = _o->resumes.empty() ? 0 : _fbb.CreateString(_o->resumes);
   auto _streaming_ms = _o->streaming_ms;
+  auto _take_up_age_ms = _o->take_up_age_ms;
   return marigoldquay::protocol::CreatePlaceStreamRequest(
       _fbb,
       _request_id,
@@ -9625,7 +9641,8 @@
       _software_version,
       _is_take_up,
       _resumes,
-      _streaming_ms);
+      _streaming_ms,
+      _take_up_age_ms);
 }
 
 
--- a/packages/relay/include/marigoldquay/relay/front_handler.h
+++ b/packages/relay/include/marigoldquay/relay/front_handler.h
@@ -59,6 +59,9 @@
   /// When the configuration in `cluster` was last known to be the newest one of the store, by a
   /// read of this VM or through the coordinator; InfinitePast before that.
   std::function<absl::Time()> catalog_confirmed_at;
+  /// When the list of backend servers in `cluster` was asked for at the store, by this VM or by the
+  /// coordinator; InfinitePast before that.
+  std::function<absl::Time()> servers_read_at;
   /// Called when a backend server announces that it is shutting down.
   std::function<void(const BackendServerId&)> on_draining_server;
   /// Called with the request limit that a response states, or that it no longer states one.
--- a/packages/relay/include/marigoldquay/relay/stream_placer.h
+++ b/packages/relay/include/marigoldquay/relay/stream_placer.h
@@ -28,6 +28,8 @@
   /// Set when the caller takes up a stream that was broken off: the request that brought its first
   /// event, empty when the caller does not name it.
   std::optional<RequestId> resumes;
+  /// When the request that takes it up arrived.
+  absl::Time taken_up_at = absl::InfiniteFuture();
   StreamDemand demand;
 };
 
--- a/packages/relay/src/model_relay.cc
+++ b/packages/relay/src/model_relay.cc
@@ -72,6 +72,7 @@
                                               : state_.workspace->quota.default_cost;
     }
     request.resumes = state_.metadata.resumes;
+    request.taken_up_at = state_.arrival_time;
     auto& demand = request.demand;
     demand.request = state_.metadata.id;
     demand.shared_parts = state_.metadata.shared_parts;
--- a/packages/relay/src/plain_relay.cc
+++ b/packages/relay/src/plain_relay.cc
@@ -23,6 +23,10 @@
 constexpr absl::Duration kOverloadRetryAfter = absl::Milliseconds(400);
 constexpr absl::Duration kNoServerRetryAfter = absl::Seconds(1);
 constexpr absl::Duration kMinLimitRetryAfter = absl::Milliseconds(100);
+// The list of servers is read again within about a second while the store or the coordinator can be
+// reached.
+constexpr absl::Duration kMaxListWait = absl::Milliseconds(1200);
+constexpr absl::Duration kListPoll = absl::Milliseconds(20);
 constexpr unsigned kBadGateway = 502;
 constexpr unsigned kUnavailable = 503;
 
@@ -35,7 +39,7 @@
         idempotent_(state.route->kind == RequestKind::kIdempotent) {}
 
   void Run(Yield yield) {
-    if (TakesUpUnknownStream()) return RejectTakeUp(yield);
+    if (TakesUpUnknownStream(yield)) return RejectTakeUp(yield);
     for (int i = 0; i < kMaxServersTried; ++i) {
       const absl::Duration quarantine = state_.QuarantineTimeLeft();
       if (quarantine > absl::ZeroDuration()) return RejectAsQuarantined(quarantine, yield);
@@ -206,15 +210,31 @@
 
   // Whether the request takes up a stream that servers of one of several software versions may have
   // begun. Which one is recorded for model services only.
-  bool TakesUpUnknownStream() const {
+  bool TakesUpUnknownStream(Yield yield) {
     if (state_.route->kind != RequestKind::kStream || !state_.metadata.resumes) return false;
+    return HasSeveralVersions() || !AwaitListReadSinceArrival(yield) || HasSeveralVersions();
+  }
+
+  bool HasSeveralVersions() const {
     const auto ready = state_.context.cluster.replicas().FindReady(state_.service->name);
     return std::any_of(ready.begin(), ready.end(), [&](const Replica& replica) {
       return replica.software_version != ready.front().software_version;
     });
   }
 
+  // An older list may lack servers of another version that began the stream for another VM, while
+  // this one stood still or was cut off. False when no newer list comes.
+  bool AwaitListReadSinceArrival(Yield yield) {
+    const absl::Time until = state_.Now() + kMaxListWait;
+    while (state_.context.servers_read_at() < state_.arrival_time) {
+      if (state_.Now() >= until || state_.cancellation.cancelled()) return false;
+      SleepFor(state_.context.io, kListPoll, yield);
+    }
+    return true;
+  }
+
   void RejectTakeUp(Yield yield) {
+    if (state_.cancellation.cancelled()) return HandleCancellation(state_, yield);
     SendError(state_, kUnavailable, kUnknownOriginReason, kOverloadRetryAfter, yield);
   }
 
--- a/packages/relay/tests/front_fixture.h
+++ b/packages/relay/tests/front_fixture.h
@@ -241,6 +241,8 @@
   ClusterView view;
   CatalogContents contents;
   absl::Time catalog_confirmed_at = clock.Now();
+  // When the list of servers was read; unset for a list that is always the newest one.
+  std::optional<absl::Time> servers_read_at;
   // Named by the requests of Call.
   std::optional<RequestId> resumes;
   ScriptedPlacer placer;
@@ -280,8 +282,9 @@
  public:
   FrontHandler front{{io, clock, view, dialect_, connections_, health_, balancer_, budgets_, placer,
                       placer, placer, [] { return std::size_t{1}; },
-                      [this] { return catalog_confirmed_at; }, [](const BackendServerId&) {},
-                      [](const StatedRequestLimit&) {}}};
+                      [this] { return catalog_confirmed_at; },
+                      [this] { return servers_read_at.value_or(clock.Now()); },
+                      [](const BackendServerId&) {}, [](const StatedRequestLimit&) {}}};
 };
 
 }  // namespace marigoldquay::testing
--- a/packages/relay/tests/software_version_test.cc
+++ b/packages/relay/tests/software_version_test.cc
@@ -33,6 +33,29 @@
   BOOST_TEST(Call("/plain-stream/x").status() == 200U);
 }
 
+// Guards against a VM that stood still or was cut off, lists one version only, and lets a plain
+// stream go on there that another VM began at a server of another version.
+BOOST_AUTO_TEST_CASE(plain_stream_is_not_taken_up_by_a_list_from_before_it) {
+  resumes = "r0";
+  servers_read_at = clock.Now() - absl::Milliseconds(1);
+  BOOST_TEST(Call("/plain-stream/x").status() == 503U);
+  BOOST_TEST(RequestsAt("s1") + RequestsAt("s2") == 0);
+}
+
+// Guards against the same, and against a refusal, when a newer list arrives.
+BOOST_AUTO_TEST_CASE(plain_stream_that_is_taken_up_waits_for_a_list_from_after_it) {
+  resumes = "r0";
+  servers_read_at = clock.Now() - absl::Milliseconds(1);
+  const auto read = [&] { servers_read_at = clock.Now() + absl::Seconds(1); };
+  BOOST_TEST(Call("/plain-stream/x", "key-1", read).status() == 200U);
+  servers_read_at = clock.Now() - absl::Milliseconds(1);
+  const auto read_two_versions = [&] {
+    StartAgainAt("s1", "2");
+    servers_read_at = clock.Now() + absl::Seconds(1);
+  };
+  BOOST_TEST(Call("/plain-stream/x", "key-1", read_two_versions).status() == 503U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/platform/scripted_relay.cc
+++ b/tests/platform/scripted_relay.cc
@@ -121,8 +121,8 @@
       budgets_(RetryBudgetLimits{}),
       handler_({io_, clock_, view_, dialect_, connections_, health_, balancer_, budgets_, placer_,
                 crash_guard_, quota_, [] { return std::size_t{1}; },
-                [this] { return clock_.Now(); }, [](const BackendServerId&) {},
-                [](const StatedRequestLimit&) {}}),
+                [this] { return clock_.Now(); }, [this] { return clock_.Now(); },
+                [](const BackendServerId&) {}, [](const StatedRequestLimit&) {}}),
       listener_(io_, handler_, 100) {
   CatalogContents contents;
   contents.version = 1;
--- a/tests/platform/world.cc
+++ b/tests/platform/world.cc
@@ -118,7 +118,7 @@
   if (options_.proxied) {
     server_links_[id] = std::make_unique<LinkProxy>(io_, replicas_[id]->address());
   }
-  store_->Put("keyed.servers", id, Entry(id, "ready"));
+  if (options_.listed_at_start(id)) store_->Put("keyed.servers", id, Entry(id, "ready"));
 }
 
 void World::Run(const std::function<void()>& action) {
@@ -192,6 +192,7 @@
       {"ip", "127.0.0.1"},
       {"zone", "z1"},
       {"region", "r1"},
+      {"bootstrap", options_.bootstrap},
       {"listen",
        {{"front", Local(base)}, {"ready", Local(base + 1)}, {"directory", Local(base + 2)}}},
       {"portRange", boost::json::array{base + 3, base + 5}},
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -57,6 +57,12 @@
   /// Connections that the store accepts.
   std::size_t store_connections = 500;
   bool with_configuration = true;
+  /// Whether the settings say that the system starts for the first time.
+  bool bootstrap = false;
+  /// Whether the backend server with this id is announced before the VMs start.
+  std::function<bool(const std::string& id)> listed_at_start = [](const std::string&) {
+    return true;
+  };
   /// Alters every configuration before it is written, the first one too.
   std::function<void(boost::json::object&)> configuration = [](boost::json::object&) {};
   /// Alters the bounds of the rules in the settings of every VM.
