Take a status that HTTP does not have for a broken exchange

Cause: the parser accepts any three digits, and nothing looked at the number. A reply read as a whole (prefills, the store, orders to engines) also took an interim response for the final one. libcurl, on the own interface, accepts 600 to 999 and "200x".

Change: both HTTP clients take a status line outside 100 to 599 (RFC 9110, section 15), 101 included, for a broken exchange: its connection is closed, the request may have run, nothing of it reaches the caller. Whole replies skip interim responses. Links between VMs carry frames, not HTTP.

--- a/packages/net/include/marigoldquay/net/http_connection.h
+++ b/packages/net/include/marigoldquay/net/http_connection.h
@@ -40,6 +40,8 @@
   static constexpr std::size_t kMaxHeadBytes = std::size_t{16} * 1024;
   /// Most bytes that ReadSome returns.
   static constexpr std::size_t kMaxChunkBytes = internal::MessageReader::kReadBytes;
+  /// Most interim responses before the final one.
+  static constexpr int kMaxInterimResponses = 8;
   /// Largest response to a call that returns a few values, in bytes.
   static constexpr std::size_t kMaxShortReplyBytes = std::size_t{16} * 1024;
 
@@ -51,12 +53,12 @@
   /// Sends a complete request.
   ErrorOrVoid Send(const HttpRequest& request, absl::Duration timeout, Yield yield);
   ErrorOrVoid Send(const ForwardedRequest& request, absl::Duration timeout, Yield yield);
-  /// Reads the header of the response to the last request.
+  /// Reads the header of the response to the last request, which may be an interim one (1xx).
   ErrorOrVoid ReadHeader(ResponseParser& parser, absl::Duration timeout, Yield yield);
   /// Reads part of the body into `chunk`; an empty chunk with parser.is_done() marks the end.
   ErrorOrVoid ReadSome(ResponseParser& parser, std::string& chunk, absl::Duration timeout,
                        Yield yield);
-  /// Reads a complete response with a body of at most `limit` bytes.
+  /// Reads a complete response with a body of at most `limit` bytes, and skips interim ones.
   ErrorOr<HttpReply> ReadReply(std::size_t limit, absl::Duration timeout, Yield yield);
 
   /// Charges `bytes` of the response that are kept beside this connection to the memory budget, in
@@ -79,6 +81,11 @@
 
  private:
   Error MakeError(const boost::system::error_code& error, absl::string_view operation) const;
+  // Closes the connection and fails when the response has a status that HTTP does not have: such
+  // bytes are no response.
+  ErrorOrVoid CheckStatus(unsigned status);
+  // Reads one response, interim or final.
+  ErrorOr<HttpReply> ReadOneReply(std::size_t limit, Yield yield);
   template <class Request>
   ErrorOrVoid SendRequest(const Request& request, absl::Duration timeout, Yield yield);
 
--- a/packages/net/src/http_connection.cc
+++ b/packages/net/src/http_connection.cc
@@ -21,6 +21,13 @@
 // retransmitted after 1 s and 3 s, so another connection is attempted much earlier.
 constexpr absl::Duration kConnectAttemptTimeout = absl::Milliseconds(200);
 
+// Three digits, from 100 to 599 (RFC 9110, section 15).
+constexpr unsigned kLeastStatus = 100;
+constexpr unsigned kLeastFinalStatus = 200;
+constexpr unsigned kGreatestStatus = 599;
+// No request asks for another protocol.
+constexpr unsigned kSwitchingProtocols = 101;
+
 // Connects within `timeout`, with as many attempts as that allows.
 ErrorOr<std::unique_ptr<HttpConnection>> OpenConnection(const ConnectionPool& pool,
                                                         const Address& peer, absl::Duration timeout,
@@ -67,6 +74,15 @@
   return Error{code, std::string(operation), peer_, error.message()};
 }
 
+ErrorOrVoid HttpConnection::CheckStatus(unsigned status) {
+  const bool valid =
+      status >= kLeastStatus && status <= kGreatestStatus && status != kSwitchingProtocols;
+  if (valid) return std::monostate();
+  Close();
+  return Error{ErrorCode::kProtocol, "read response header", peer_,
+               absl::StrCat("status ", status, " is not valid")};
+}
+
 ErrorOrVoid HttpConnection::Connect(absl::Duration timeout, Yield yield) {
   const auto endpoint = ParseEndpoint(peer_);
   if (!endpoint) return Error{ErrorCode::kNotSent, "connect", peer_, "malformed address"};
@@ -108,7 +124,7 @@
   const auto head_read = [&] { return parser.is_header_done(); };
   const auto error = reader_.ReadUntil(parser, head_read, yield);
   if (error) return MakeError(error, "read response header");
-  return std::monostate();
+  return CheckStatus(parser.get().result_int());
 }
 
 ErrorOrVoid HttpConnection::ReadSome(ResponseParser& parser, std::string& chunk,
@@ -129,14 +145,25 @@
 
 ErrorOr<HttpReply> HttpConnection::ReadReply(std::size_t limit, absl::Duration timeout,
                                              Yield yield) {
+  stream_.expires_after(ToChrono(timeout));
+  for (int replies = 0; replies <= kMaxInterimResponses; ++replies) {
+    auto reply = ReadOneReply(limit, yield);
+    if (!reply || reply->status >= kLeastFinalStatus) return reply;
+  }
+  Close();
+  return Error{ErrorCode::kProtocol, "read response", peer_, "too many interim responses"};
+}
+
+ErrorOr<HttpReply> HttpConnection::ReadOneReply(std::size_t limit, Yield yield) {
   http::response_parser<http::string_body> parser;
   parser.header_limit(kMaxHeadBytes);
   parser.body_limit(limit);
-  stream_.expires_after(ToChrono(timeout));
   reader_.StartMessage(kMaxHeadBytes);
   const auto error = ReadWhole(reader_, parser, yield);
   if (error) return MakeError(error, "read response");
   auto message = parser.release();
+  const auto valid = CheckStatus(message.result_int());
+  if (!valid) return valid.error();
   if (!message.keep_alive()) Close();
   HttpReply reply;
   reply.status = message.result_int();
--- a/packages/net/tests/http_connection_test.cc
+++ b/packages/net/tests/http_connection_test.cc
@@ -12,6 +12,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
+#include "tcp_stub_server.h"
 
 namespace marigoldquay {
 namespace {
@@ -91,6 +92,54 @@
   BOOST_TEST((absl::Now() - started < kCallTimeout));
 }
 
+// What a call gets from a server that sends `bytes`.
+ErrorOr<HttpReply> ReplyTo(const std::string& bytes) {
+  const testing::TcpStubServer server([&](const testing::StubConnection& connection) {
+    connection.ReadUntil("\r\n\r\n");
+    connection.Send(bytes);
+  });
+  asio::io_context io;
+  ConnectionPool pool(io, SystemClock::Instance());
+  ErrorOr<HttpReply> reply = Error{};
+  SpawnFiber(io, "call", [&](Yield yield) {
+    const HttpRequest request(http::verb::get, "/", 11);
+    reply = CallHttp(pool, server.address(), request, absl::Seconds(2), yield);
+  });
+  io.run();
+  BOOST_TEST(pool.idle() == 0U);
+  return reply;
+}
+
+std::string WithStatus(const std::string& status) {
+  return "HTTP/1.1 " + status + "\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok";
+}
+
+// Guards against bytes of a peer in trouble that are taken for its answer: HTTP has statuses from
+// 100 to 599.
+BOOST_AUTO_TEST_CASE(reply_with_a_status_that_http_does_not_have_is_an_error) {
+  for (const std::string status : {"000 x", "001 x", "099 x", "101 x", "600 x", "999 x", "20 x",
+                                   "2000 x", "200x", "-20 x", "2e1 x", "abc x", " 200 OK", ""}) {
+    const auto reply = ReplyTo(WithStatus(status));
+    BOOST_TEST_REQUIRE(!reply.ok(), status);
+    BOOST_TEST((reply.error().code == ErrorCode::kProtocol), status);
+  }
+  for (const std::string status : {"200 ", "204 x", "299 x", "404 x", "599 x"}) {
+    BOOST_TEST(ReplyTo(WithStatus(status)).ok(), status);
+  }
+}
+
+// Guards against an interim response that is taken for the answer of the peer.
+BOOST_AUTO_TEST_CASE(interim_responses_are_no_reply) {
+  const std::string interim = "HTTP/1.1 103 Early\r\n\r\n";
+  const auto reply = ReplyTo(interim + interim + WithStatus("200 OK"));
+  BOOST_TEST_REQUIRE(reply.ok());
+  BOOST_TEST(reply->status == 200U);
+  BOOST_TEST(reply->body == "ok");
+  std::string endless;
+  for (int i = 0; i < 100; ++i) endless += interim;
+  BOOST_TEST(!ReplyTo(endless + WithStatus("200 OK")).ok());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/packages/relay/src/backend_attempt.cc
+++ b/packages/relay/src/backend_attempt.cc
@@ -13,8 +13,6 @@
 // earlier.
 constexpr absl::Duration kConnectTimeout = absl::Milliseconds(120);
 constexpr int kMaxConnectAttempts = 2;
-// Guards against a faulty server that sends interim responses without end.
-constexpr int kMaxInterimResponses = 8;
 
 }  // namespace
 
@@ -60,7 +58,7 @@
 }
 
 ErrorOrVoid BackendAttempt::ReadFinalHead(absl::Duration timeout, Yield yield) {
-  for (int heads = 0; heads <= kMaxInterimResponses; ++heads) {
+  for (int heads = 0; heads <= HttpConnection::kMaxInterimResponses; ++heads) {
     parser_.emplace();
     if (state_.request.method() == http::verb::head) parser_->skip(true);
     auto read = connection_->ReadHeader(*parser_, timeout, yield);
--- a/packages/transport/src/http_client.cc
+++ b/packages/transport/src/http_client.cc
@@ -37,6 +37,25 @@
 
 absl::Time Now() { return SystemClock::Instance().Now(); }
 
+// Status of a status line; unset when it has none that HTTP has: three digits, from 100 to 599 (RFC
+// 9110, section 15), before a space or the end of the line. No request asks for another protocol,
+// which 101 would begin.
+std::optional<int> ParseStatus(absl::string_view line) {
+  constexpr std::size_t kDigits = 3;
+  const auto space = line.find(' ');
+  if (space == absl::string_view::npos) return std::nullopt;
+  const auto rest = line.substr(space + 1);
+  const auto digits = rest.substr(0, kDigits);
+  const bool ends = rest.size() == kDigits || (rest.size() > kDigits && rest[kDigits] == ' ');
+  int status = 0;
+  if (!ends || !std::all_of(digits.begin(), digits.end(), absl::ascii_isdigit) ||
+      !absl::SimpleAtoi(digits, &status)) {
+    return std::nullopt;
+  }
+  if (status < 100 || status > 599 || status == 101) return std::nullopt;
+  return status;
+}
+
 // "http://10.0.0.1:8000" of an URL.
 absl::string_view OriginOf(absl::string_view url) {
   const auto scheme = url.find("://");
@@ -201,7 +220,7 @@
   Result<HttpResponse> Conclude(std::optional<CURLcode> code) {
     if (code == CURLE_OK) return std::move(response_);
     if (stop_ == ErrorCode::kCancelled) return Failure(*stop_, "cancelled by the caller");
-    if (stop_ == ErrorCode::kResourceExhausted) return Failure(*stop_, stop_text_);
+    if (stop_) return Failure(*stop_, stop_text_);
     if (sends_ == 0) {
       return Failure(ErrorCode::kNotSent, error_text_[0] != 0 ? error_text_.data()
                                           : code              ? curl_easy_strerror(*code)
@@ -256,11 +275,9 @@
     if (absl::StartsWith(line, "HTTP/")) {
       // A final response follows interim ones (1xx) with a status line of its own.
       response_.headers.clear();
-      const auto space = line.find(' ');
-      if (space == absl::string_view::npos ||
-          !absl::SimpleAtoi(line.substr(space + 1, 3), &response_.status)) {
-        response_.status = 0;
-      }
+      const auto status = ParseStatus(line);
+      if (!status) return StopMalformed(line);
+      response_.status = *status;
       return true;
     }
     const auto colon = line.find(':');
@@ -287,6 +304,12 @@
     return true;
   }
 
+  bool StopMalformed(absl::string_view status_line) {
+    stop_ = ErrorCode::kProtocol;
+    stop_text_ = absl::StrCat("malformed status line \"", status_line, "\"");
+    return false;
+  }
+
   bool StopTooLarge(absl::string_view what, std::size_t limit) {
     stop_ = ErrorCode::kResourceExhausted;
     stop_text_ = absl::StrCat(what, " too large, allowed 0 to ", limit, " bytes");
--- a/packages/transport/tests/http_client_test.cc
+++ b/packages/transport/tests/http_client_test.cc
@@ -217,6 +217,21 @@
   BOOST_TEST(wrong == 0);
 }
 
+// Guards against bytes of an engine in trouble that are taken for its answer, since libcurl accepts
+// any three digits.
+BOOST_AUTO_TEST_CASE(response_with_a_status_that_http_does_not_have_is_an_error) {
+  for (const std::string status :
+       {"000 x", "099 x", "101 Switching", "600 x", "999 x", "2 x", "20 x", "2000 x", "200x",
+        "-20 x", "+20 x", "2e1 x", "abc x", " 200 OK"}) {
+    TcpStubServer server([&](const StubConnection& connection) {
+      connection.ReadUntil("\r\n\r\n");
+      connection.Send(Answer("fine", status));
+    });
+    const auto client = MakeCurlHttpClient();
+    BOOST_TEST(Perform(*client, {"GET", UrlOf(server), {}, ""}).index() == 1U, status);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace marigoldquay
