Refuse requests in a transfer coding whose end is not known

Cause: the parser takes a message whose last coding is not chunked for one without a body, and nothing else looked at the field.

Change: any coding but "chunked" alone, several such fields, or one in HTTP/1.0 is answered 400 and closes the connection (RFC 9112, section 6.3). A response in another coding is a broken exchange, as its bytes are not the body.

--- a/packages/net/include/marigoldquay/net/http_connection.h
+++ b/packages/net/include/marigoldquay/net/http_connection.h
@@ -81,9 +81,9 @@
 
  private:
   Error MakeError(const boost::system::error_code& error, absl::string_view operation) const;
-  // Closes the connection and fails when the response has a status that HTTP does not have: such
-  // bytes are no response.
-  ErrorOrVoid CheckStatus(unsigned status);
+  // Closes the connection and fails when the head has a status that HTTP does not have, as such
+  // bytes are no response, or leaves open where the body ends.
+  ErrorOrVoid CheckHead(unsigned status, const HttpFields& fields, unsigned version);
   // Reads one response, interim or final.
   ErrorOr<HttpReply> ReadOneReply(std::size_t limit, Yield yield);
   template <class Request>
--- a/packages/net/src/caller_connection.cc
+++ b/packages/net/src/caller_connection.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "message_framing.h"
 
 namespace marigoldquay::internal {
 namespace {
@@ -265,6 +266,11 @@
     auto error = reader_.ReadUntil(
         parser, [&] { return parser.is_header_done(); }, yield);
     if (error) return error;
+    // The parser takes a message in an unknown coding for one without a body, and its body for
+    // further requests.
+    if (!HasKnownTransferCoding(parser.get(), parser.get().version())) {
+      return http::error::bad_transfer_encoding;
+    }
     // A body that does not fit is refused before it is sent.
     const std::uint64_t length = parser.content_length().value_or(0);
     if (!reader_.ChargeBody(static_cast<std::size_t>(length))) return OutOfMemory();
--- a/packages/net/src/http_connection.cc
+++ b/packages/net/src/http_connection.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "message_framing.h"
 
 namespace marigoldquay {
 namespace {
@@ -74,13 +75,16 @@
   return Error{code, std::string(operation), peer_, error.message()};
 }
 
-ErrorOrVoid HttpConnection::CheckStatus(unsigned status) {
+ErrorOrVoid HttpConnection::CheckHead(unsigned status, const HttpFields& fields, unsigned version) {
+  const auto fail = [&](std::string message) {
+    Close();
+    return Error{ErrorCode::kProtocol, "read response header", peer_, std::move(message)};
+  };
   const bool valid =
       status >= kLeastStatus && status <= kGreatestStatus && status != kSwitchingProtocols;
-  if (valid) return std::monostate();
-  Close();
-  return Error{ErrorCode::kProtocol, "read response header", peer_,
-               absl::StrCat("status ", status, " is not valid")};
+  if (!valid) return fail(absl::StrCat("status ", status, " is not valid"));
+  if (!internal::HasKnownTransferCoding(fields, version)) return fail("unknown transfer coding");
+  return std::monostate();
 }
 
 ErrorOrVoid HttpConnection::Connect(absl::Duration timeout, Yield yield) {
@@ -124,7 +128,8 @@
   const auto head_read = [&] { return parser.is_header_done(); };
   const auto error = reader_.ReadUntil(parser, head_read, yield);
   if (error) return MakeError(error, "read response header");
-  return CheckStatus(parser.get().result_int());
+  const auto& head = parser.get();
+  return CheckHead(head.result_int(), head.base(), head.version());
 }
 
 ErrorOrVoid HttpConnection::ReadSome(ResponseParser& parser, std::string& chunk,
@@ -162,7 +167,7 @@
   const auto error = ReadWhole(reader_, parser, yield);
   if (error) return MakeError(error, "read response");
   auto message = parser.release();
-  const auto valid = CheckStatus(message.result_int());
+  const auto valid = CheckHead(message.result_int(), message.base(), message.version());
   if (!valid) return valid.error();
   if (!message.keep_alive()) Close();
   HttpReply reply;
--- a/packages/net/tests/http_connection_test.cc
+++ b/packages/net/tests/http_connection_test.cc
@@ -140,6 +140,21 @@
   BOOST_TEST(!ReplyTo(endless + WithStatus("200 OK")).ok());
 }
 
+// Guards against a body in a coding that is passed on as if it were the body itself.
+BOOST_AUTO_TEST_CASE(reply_in_an_unknown_transfer_coding_is_an_error) {
+  for (const std::string coding : {"identity", "gzip", "gzip, chunked", "chunked, identity"}) {
+    const auto reply =
+        ReplyTo("HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: " + coding +
+                "\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+    BOOST_TEST(!reply.ok(), coding);
+  }
+  const auto chunked = ReplyTo(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\nConnection: close\r\n\r\n"
+      "2\r\nok\r\n0\r\n\r\n");
+  BOOST_TEST_REQUIRE(chunked.ok());
+  BOOST_TEST(chunked->body == "ok");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/platform/platform_path_test.cc
+++ b/tests/platform/platform_path_test.cc
@@ -145,6 +145,36 @@
   BOOST_TEST(world.RunsOf(id).empty());
 }
 
+// Guards against a request in a coding that HTTP/1.1 does not allow, whose body is taken for
+// further requests with a path, key and id that no caller sent.
+BOOST_AUTO_TEST_CASE(request_inside_the_body_of_another_one_is_not_run) {
+  const std::string codings[] = {"identity",
+                                 "gzip",
+                                 "chunked, identity",
+                                 "chunked, chunked",
+                                 "gzip, chunked",
+                                 "chunked;q=1",
+                                 "xchunked",
+                                 "",
+                                 "chunked\r\nTransfer-Encoding: identity",
+                                 "identity\r\nTransfer-Encoding: chunked",
+                                 "chunked\r\nTransfer-Encoding: chunked"};
+  for (const std::string& coding : codings) {
+    const auto outer = NewRequestId();
+    const auto inner = NewRequestId();
+    const auto answer = world.Raw(0, RawHead(outer, "Transfer-Encoding: " + coding + "\r\n\r\n") +
+                                         RawHead(inner, "Content-Length: 0\r\n\r\n"));
+    BOOST_TEST(absl::StartsWith(answer, "HTTP/1.1 400"), coding << " " << answer);
+    BOOST_TEST(world.RunsOf(outer).empty(), coding);
+    BOOST_TEST(world.RunsOf(inner).empty(), coding);
+  }
+  const auto old = NewRequestId();
+  std::string bytes = RawHead(old, "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+  bytes.replace(bytes.find("HTTP/1.1"), 8, "HTTP/1.0");
+  BOOST_TEST(absl::StartsWith(world.Raw(0, bytes), "HTTP/1.1 400"));
+  BOOST_TEST(world.RunsOf(old).empty());
+}
+
 // A head or body that stops must not hold a connection for ever, nor run.
 BOOST_AUTO_TEST_CASE(short_requests_run_nothing) {
   const auto id = NewRequestId();
