Let a stream go on only behind an event whose id is known

Cause: EventSplitter kept whole numbers only, and nothing asked whether the position of a stream was known before it went on. Ids with leading zeros were sent in another form.

Change: ids are texts, kept and sent as the server wrote them; after an event with data and without an id a stream is broken off and the caller takes it up itself. Found on the way: a response that is no event stream, and one whose lines end with CR, arrived empty at callers of resumable streams and looked complete.

The stand-in servers of scripted_relay keep their script while a connection is still in it: a probe for a crash that stayed open ended the test program, once.

--- a/packages/relay/include/marigoldquay/relay/backend_dialect.h
+++ b/packages/relay/include/marigoldquay/relay/backend_dialect.h
@@ -37,7 +37,7 @@
   std::optional<absl::Duration> time_left;
   std::optional<TokenDemand> tokens;
   /// Id of the last event that the caller received of the stream to be resumed.
-  std::optional<std::uint64_t> resume_after;
+  std::optional<std::string> resume_after;
   /// Set when the caller takes up a stream that was broken off: the request that brought its first
   /// event, empty when the caller does not name it.
   std::optional<RequestId> resumes;
@@ -59,7 +59,7 @@
   /// Engine address and handle of the prefill whose KV cache the decode engine fetches.
   std::optional<std::string> kv_source;
   /// Id of the event after which the stream continues.
-  std::optional<std::uint64_t> resume_after;
+  std::optional<std::string> resume_after;
 };
 
 /// Properties of a response that are carried in its status and header fields.
--- a/packages/relay/src/event_splitter.h
+++ b/packages/relay/src/event_splitter.h
@@ -4,7 +4,7 @@
 #ifndef MARIGOLDQUAY_RELAY_SRC_EVENT_SPLITTER_H_
 #define MARIGOLDQUAY_RELAY_SRC_EVENT_SPLITTER_H_
 
-#include <cstdint>
+#include <cstddef>
 #include <optional>
 #include <string>
 
@@ -12,25 +12,35 @@
 
 namespace marigoldquay::internal {
 
-/// Buffers the bytes of an event until the event is complete. The caller limits its size.
+/// Buffers the bytes of an event until the event is complete. The caller limits its size. Lines end
+/// with LF, CR LF or CR.
 class EventSplitter {
  public:
   /// Appends received bytes and returns the bytes of all events that are now complete.
   std::string Append(absl::string_view bytes);
   /// Discards the buffered bytes of an incomplete event.
-  void DiscardPartial() { partial_.clear(); }
+  void DiscardPartial();
   bool has_partial() const { return !partial_.empty(); }
   /// Size of the incomplete event in bytes.
   std::size_t partial_bytes() const { return partial_.size(); }
-  /// Id of the last complete event that had a numeric id.
-  std::optional<std::uint64_t> last_id() const { return last_id_; }
-  void set_last_id(std::optional<std::uint64_t> id) { last_id_ = id; }
+  /// Id of the last complete event that had one, as the server wrote it.
+  const std::optional<std::string>& last_id() const { return last_id_; }
+  /// Whether a server that is told `last_id` goes on behind the last complete event. False after an
+  /// event with data and without an id that can be sent in a header field.
+  bool position_known() const { return position_known_; }
 
  private:
-  void ParseId(absl::string_view event);
+  // Adopts the id and position after a complete event.
+  void OnEvent(absl::string_view event);
 
   std::string partial_;
-  std::optional<std::uint64_t> last_id_;
+  // Bytes of the current line so far.
+  std::size_t line_bytes_ = 0;
+  // Whether the last byte was a CR, and whether that ended an event: a LF belongs to it.
+  bool after_cr_ = false;
+  bool cr_ended_event_ = false;
+  std::optional<std::string> last_id_;
+  bool position_known_ = true;
 };
 
 /// Tells whether a stream has ended between two events. Keeps only the last bytes.
--- a/packages/relay/src/model_relay.cc
+++ b/packages/relay/src/model_relay.cc
@@ -256,7 +256,7 @@
   // Whether another engine may continue after the attempt at `decode`.
   bool MayResume(const Replica& decode) const {
     return state_.route->resumable && state_.execution_count < state_.route->max_attempts &&
-           IsVersionCertain(decode);
+           forwarder_.position_known() && IsVersionCertain(decode);
   }
 
   // False when a server with the same id and another software version has started meanwhile: the
--- a/packages/relay/src/stream_forwarder.cc
+++ b/packages/relay/src/stream_forwarder.cc
@@ -48,6 +48,7 @@
 std::optional<std::string> StreamForwarder::ForwardEvents(BackendAttempt& attempt,
                                                           PlacementGuard& guard, Yield yield) {
   std::string chunk;
+  const bool splits = state_.route->resumable && attempt.IsEventStream();
   absl::Time first_event_at = absl::InfiniteFuture();
   while (!attempt.done()) {
     const auto read = attempt.ReadSome(chunk, yield);
@@ -64,7 +65,8 @@
       first_event_at = state_.Now();
       state_.context.placer.OnFirstEvent(guard.placement());
     }
-    const std::string events = state_.route->resumable ? events_.Append(chunk) : chunk;
+    forwarded_unsplit_ |= !splits && !chunk.empty();
+    const std::string events = splits ? events_.Append(chunk) : chunk;
     if (!HasRoomForEvent(attempt)) {
       guard.End(StreamEnd::kFailed);
       return absl::StrCat("event of over ", events_.partial_bytes(), " bytes");
--- a/packages/relay/src/stream_forwarder.h
+++ b/packages/relay/src/stream_forwarder.h
@@ -3,7 +3,6 @@
 #ifndef MARIGOLDQUAY_RELAY_SRC_STREAM_FORWARDER_H_
 #define MARIGOLDQUAY_RELAY_SRC_STREAM_FORWARDER_H_
 
-#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -23,8 +22,10 @@
   /// may continue it; nullopt when the request is finished.
   std::optional<std::string> Forward(BackendAttempt& attempt, PlacementGuard& guard, Yield yield);
 
-  /// Id of the last event that was forwarded as a whole, if it had one.
-  std::optional<std::uint64_t> last_event_id() const { return events_.last_id(); }
+  /// Id of the last event that was forwarded as a whole and had one.
+  const std::optional<std::string>& last_event_id() const { return events_.last_id(); }
+  /// Whether an engine that is told the last id goes on where the caller is.
+  bool position_known() const { return !forwarded_unsplit_ && events_.position_known(); }
   /// Forgets the part of an event whose rest another engine will send again.
   void DiscardPartialEvent() { events_.DiscardPartial(); }
 
@@ -39,6 +40,8 @@
 
   RequestState& state_;
   EventSplitter events_;
+  // Whether bytes that are no events were forwarded.
+  bool forwarded_unsplit_ = false;
 };
 
 }  // namespace marigoldquay::internal
--- a/tests/platform/broken_off_responses_test.cc
+++ b/tests/platform/broken_off_responses_test.cc
@@ -187,6 +187,54 @@
   BOOST_TEST(second.body.find("not_run") == std::string::npos);
 }
 
+// Guards against a stream that begins again behind the events that the caller has, because the
+// second engine was not told the id of the last one.
+BOOST_AUTO_TEST_CASE(stream_goes_on_behind_the_last_id_whatever_its_form) {
+  for (const std::string id : {"2", "003", "1765065600000-102", "b/2"}) {
+    ScriptedRelay relay;
+    const std::string first =
+        absl::StrCat(Head(""), "id: a1\ndata: a\n\nid: ", id, "\ndata: b\n\nid: c");
+    const std::string rest = "id: c3\ndata: c\n\n";
+    const auto response =
+        relay.CallTwoEngines("/resumed/", first, absl::StrCat(Head(""), rest), Ending::kFin);
+    BOOST_TEST(LooksComplete(response), id);
+    BOOST_TEST(response.body == absl::StrCat("id: a1\ndata: a\n\nid: ", id, "\ndata: b\n\n", rest));
+    BOOST_TEST(absl::StrContains(relay.head_at_second_engine(),
+                                 absl::StrCat("Last-Event-Id: ", id, "\r\n")));
+  }
+}
+
+// Guards against the same when no id tells where the stream is: the caller takes it up itself.
+BOOST_AUTO_TEST_CASE(stream_without_a_known_position_does_not_go_on) {
+  for (const std::string events : {"data: a\n\n", "id: 1\ndata: a\n\ndata: b\n\n"}) {
+    ScriptedRelay relay;
+    const auto response = relay.CallTwoEngines("/resumed/", absl::StrCat(Head(""), events, "da"),
+                                               absl::StrCat(Head(""), kEvents), Ending::kFin);
+    BOOST_TEST(!LooksComplete(response));
+    BOOST_TEST(relay.head_at_second_engine().empty());
+  }
+}
+
+// Guards against a response that arrives empty and looks complete, since none of its events ends in
+// a way that the relay knows.
+BOOST_AUTO_TEST_CASE(stream_with_carriage_returns_arrives_whole) {
+  const std::string events = "id: 1\rdata: a\r\rid: 2\rdata: b\r\r";
+  const std::string text = R"({"text":"no events"})";
+  ScriptedRelay relay;
+  for (const auto& path : StreamPaths()) {
+    const auto response = relay.Call(path, absl::StrCat(Head(""), events), Ending::kFin);
+    BOOST_TEST(LooksComplete(response), path);
+    BOOST_TEST(response.body == events, path);
+    const auto other =
+        relay.Call(path,
+                   absl::StrCat("HTTP/1.1 200 OK\r\nAttempt-Id: ", kScriptedRequestId,
+                                "\r\nResponse-Seal: s\r\nContent-Type: application/json\r\n",
+                                "Content-Length: ", text.size(), "\r\n\r\n", text),
+                   Ending::kFin);
+    BOOST_TEST(other.body == text, path);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/platform/scripted_relay.cc
+++ b/tests/platform/scripted_relay.cc
@@ -46,13 +46,37 @@
 }  // namespace
 
 void BreakingServer::Set(std::string bytes, Ending ending) {
-  script_ = [bytes = std::move(bytes), ending](const StubConnection& connection) {
-    connection.ReadUntil("\r\n\r\n");
+  Set([this, bytes = std::move(bytes), ending](const StubConnection& connection) {
+    std::string head = connection.ReadUntil("\r\n\r\n");
+    {
+      const std::scoped_lock lock(mutex_);
+      last_head_ = std::move(head);
+    }
     connection.Send(bytes);
     if (ending == Ending::kFin) return;
     absl::SleepFor(kBeforeReset);
     Reset(connection);
-  };
+  });
+}
+
+void BreakingServer::Set(TcpStubServer::Script script) {
+  const std::scoped_lock lock(mutex_);
+  script_ = std::move(script);
+}
+
+void BreakingServer::Run(const StubConnection& connection) {
+  // An earlier connection may still be in its script when the next one is set.
+  TcpStubServer::Script script;
+  {
+    const std::scoped_lock lock(mutex_);
+    script = script_;
+  }
+  script(connection);
+}
+
+std::string BreakingServer::last_head() const {
+  const std::scoped_lock lock(mutex_);
+  return last_head_;
 }
 
 PlacementOutcome FixedPlacer::Place(const StreamPlacementRequest& request,
--- a/tests/platform/scripted_relay.h
+++ b/tests/platform/scripted_relay.h
@@ -2,6 +2,7 @@
 #ifndef MARIGOLDQUAY_TESTS_PLATFORM_SCRIPTED_RELAY_H_
 #define MARIGOLDQUAY_TESTS_PLATFORM_SCRIPTED_RELAY_H_
 
+#include <mutex>
 #include <string>
 #include <thread>
 #include <utility>
@@ -22,16 +23,23 @@
 /// A backend server that ends its responses as the test says.
 class BreakingServer {
  public:
-  BreakingServer() : server_([this](const StubConnection& connection) { script_(connection); }) {}
+  BreakingServer() : server_([this](const StubConnection& connection) { Run(connection); }) {}
 
   /// Answers each request with `bytes` and then ends the connection.
   void Set(std::string bytes, Ending ending);
-  void Set(TcpStubServer::Script script) { script_ = std::move(script); }
+  void Set(TcpStubServer::Script script);
   const Address& address() const { return server_.address(); }
   int connections() const { return server_.connections(); }
+  /// Head of the last request that was answered with set bytes.
+  std::string last_head() const;
 
  private:
+  void Run(const StubConnection& connection);
+
+  // Guards the script and the head.
+  mutable std::mutex mutex_;
   TcpStubServer::Script script_ = [](const StubConnection&) {};
+  std::string last_head_;
   TcpStubServer server_;
 };
 
@@ -92,6 +100,8 @@
   /// Sets what the backend servers do with each connection.
   void Script(const TcpStubServer::Script& script);
   ClientResponse Call(const std::string& path, const std::string& body = "");
+  /// Head of the last request to the engine e2; empty when there was none.
+  std::string head_at_second_engine() const { return second_engine_.last_head(); }
   /// Connections that the plain server and the engines e1 and e2 have got.
   int connections() const;
 
