Answer requests that wait for an engine before a stopping process ends

Cause: FrontHandler::RejectRequestsBeyond looked at requests that arrive from then on, and not at those that were waiting.

One that an engine may have run goes on to wait, as it has no true refusal.

--- a/packages/net/include/marigoldquay/net/cancellation.h
+++ b/packages/net/include/marigoldquay/net/cancellation.h
@@ -1,4 +1,4 @@
-// Cancels the work on a request when its caller disconnects or its deadline expires.
+// Cancels the work on a request when its caller disconnects, its deadline expires or the VM stops.
 #ifndef MARIGOLDQUAY_NET_CANCELLATION_H_
 #define MARIGOLDQUAY_NET_CANCELLATION_H_
 
@@ -8,7 +8,7 @@
 
 namespace marigoldquay {
 
-enum class CancelCause { kNone, kCallerDisconnected, kTimeout };
+enum class CancelCause { kNone, kCallerDisconnected, kTimeout, kStopping };
 
 /// Not thread-safe; used only on the thread that runs the fibers.
 class Cancellation {
--- a/packages/relay/include/marigoldquay/relay/front_handler.h
+++ b/packages/relay/include/marigoldquay/relay/front_handler.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -82,8 +83,9 @@
   /// Requests that the configuration does not allow are refused as such only while it was confirmed
   /// within `age`; after that a newer one may allow them, and they are answered 503.
   void SetMaxCatalogAge(absl::Duration age) { max_catalog_age_ = age; }
-  /// Rejects requests that may take longer than until `exit_time`, when the process exits.
-  void RejectRequestsBeyond(absl::Time exit_time) { exit_time_ = exit_time; }
+  /// Rejects requests that may take longer than until `exit_time`, when the process exits: those
+  /// that arrive from now on, and those that wait for their first engine.
+  void RejectRequestsBeyond(absl::Time exit_time);
   /// Closes each connection after its current response.
   void CloseConnections() { closing_ = true; }
 
@@ -98,6 +100,8 @@
   FrontContext context_;
   absl::Duration max_catalog_age_ = absl::InfiniteDuration();
   absl::Time exit_time_ = absl::InfiniteFuture();
+  // Owned by the fibers that run Handle.
+  std::set<internal::RequestState*> waiting_;
   bool closing_ = false;
 };
 
--- a/packages/relay/src/front_handler.cc
+++ b/packages/relay/src/front_handler.cc
@@ -28,7 +28,6 @@
 constexpr absl::Duration kConfirmationPoll = absl::Milliseconds(10);
 // Upper bound of the ages that are logged.
 constexpr absl::Duration kMaxLoggedAge = absl::Hours(1);
-constexpr absl::Duration kStoppingRetryAfter = absl::Milliseconds(50);
 // Subtracted from the time that the caller waits, so that the response arrives within it.
 constexpr absl::Duration kResponseMargin = absl::Milliseconds(5);
 
@@ -183,7 +182,7 @@
 
 void FrontHandler::Handle(HttpRequest& request, HttpReplyWriter& reply, Cancellation& cancellation,
                           Yield yield) {
-  RequestState state{context_, request, reply, cancellation};
+  RequestState state{context_, request, reply, cancellation, waiting_};
   state.arrival_time = state.Now();
   state.catalog = context_.cluster.catalog();
   auto metadata = context_.dialect.DecodeRequestMetadata(request);
@@ -258,8 +257,7 @@
   const bool model = state.service->engine.has_value();
   const bool stream = state.route->kind == RequestKind::kStream;
   if (state.deadline > exit_time_) {
-    state.reply.CloseAfterReply();
-    SendError(state, 503, "this VM is shutting down", kStoppingRetryAfter, yield);
+    internal::RejectAsStopping(state, yield);
     return;
   }
   if (model && stream) {
@@ -269,6 +267,15 @@
   if (AdmitByQuota(state, yield)) internal::RelayPlain(state, yield);
 }
 
+void FrontHandler::RejectRequestsBeyond(absl::Time exit_time) {
+  exit_time_ = exit_time;
+  for (RequestState* state : waiting_) {
+    const bool untouched = state->execution_count == 0 && !state->reply.started();
+    if (!untouched || state->deadline <= exit_time) continue;
+    state->cancellation.Cancel(CancelCause::kStopping);
+  }
+}
+
 ListenerLimits FrontHandler::limits() const {
   ListenerLimits limits;
   const auto catalog = context_.cluster.catalog();
--- a/packages/relay/src/model_relay.cc
+++ b/packages/relay/src/model_relay.cc
@@ -42,7 +42,7 @@
       request.demand.excluded.insert(request.demand.excluded.end(), excluded_.begin(),
                                      excluded_.end());
       request.demand.software_version = software_version_;
-      const auto outcome = state_.context.placer.Place(request, state_.cancellation, yield);
+      const auto outcome = AwaitPlacement(request, yield);
       const bool granted = std::holds_alternative<StreamPlacement>(outcome);
       if (granted) state_.charged += std::exchange(request.charge, 0);
       if (state_.cancellation.cancelled()) {
@@ -89,6 +89,11 @@
     return request;
   }
 
+  PlacementOutcome AwaitPlacement(const StreamPlacementRequest& request, Yield yield) {
+    const EngineWait wait(state_);
+    return state_.context.placer.Place(request, state_.cancellation, yield);
+  }
+
   void AbandonPlacement(const PlacementOutcome& outcome) {
     const auto* placement = std::get_if<StreamPlacement>(&outcome);
     if (placement != nullptr) state_.context.placer.OnEnd(*placement, StreamEnd::kCancelled);
--- a/packages/relay/src/request_state.cc
+++ b/packages/relay/src/request_state.cc
@@ -11,7 +11,10 @@
 namespace marigoldquay::internal {
 namespace {
 
+constexpr unsigned kUnavailable = 503;
 constexpr unsigned kGatewayTimeout = 504;
+// Other VMs take the request at once.
+constexpr absl::Duration kStoppingRetryAfter = absl::Milliseconds(50);
 // A crashed server closes its connections just before it stops to listen.
 constexpr absl::Duration kCrashProbeDelay = absl::Milliseconds(20);
 constexpr absl::Duration kCrashProbeTimeout = absl::Milliseconds(250);
@@ -40,9 +43,7 @@
 }
 
 // Whether an error response of the router with this status means that the request has not run.
-bool IsSentBeforeRun(unsigned status) {
-  return status == 503 || (status >= 400 && status < 500);
-}
+bool IsSentBeforeRun(unsigned status) { return status == 503 || (status >= 400 && status < 500); }
 
 }  // namespace
 
@@ -135,7 +136,14 @@
       });
 }
 
+void RejectAsStopping(RequestState& state, Yield yield) {
+  state.reply.CloseAfterReply();
+  SendError(state, kUnavailable, "this VM is shutting down", kStoppingRetryAfter, yield);
+}
+
 void HandleCancellation(RequestState& state, Yield yield) {
+  // Only requests that no engine has got are ended for this.
+  if (state.cancellation.cause() == CancelCause::kStopping) return RejectAsStopping(state, yield);
   if (state.cancellation.cause() == CancelCause::kCallerDisconnected) {
     state.outcome = "caller disconnected";
     state.reply.Abort();
--- a/packages/relay/src/request_state.h
+++ b/packages/relay/src/request_state.h
@@ -4,6 +4,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "marigoldquay/core/logger.h"
@@ -19,6 +20,8 @@
   HttpRequest& request;
   HttpReplyWriter& reply;
   Cancellation& cancellation;
+  // Requests of this VM that wait for an engine.
+  std::set<RequestState*>& waiting;
 
   // Set in this order while the request is validated.
   CatalogPtr catalog;
@@ -71,6 +74,18 @@
   WorkspaceId workspace_name() const { return workspace == nullptr ? "" : workspace->name; }
 };
 
+/// Lists a request as one that waits for an engine, during the lifetime of this object.
+class EngineWait {
+ public:
+  explicit EngineWait(RequestState& state) : state_(state) { state_.waiting.insert(&state_); }
+  ~EngineWait() { state_.waiting.erase(&state_); }
+  EngineWait(const EngineWait&) = delete;
+  EngineWait& operator=(const EngineWait&) = delete;
+
+ private:
+  RequestState& state_;
+};
+
 /// Logger of the package.
 const Logger& RelayLog();
 
@@ -112,7 +127,11 @@
 /// Relays a model request via a prefill engine and a decode engine.
 void RelayModelRequest(RequestState& state, Yield yield);
 
-/// Finishes a request whose caller disconnected or whose deadline passed.
+/// Rejects a request that may take longer than this VM still runs.
+void RejectAsStopping(RequestState& state, Yield yield);
+
+/// Finishes a request whose caller disconnected, whose deadline passed or that the stop of this VM
+/// has ended.
 void HandleCancellation(RequestState& state, Yield yield);
 
 }  // namespace marigoldquay::internal
--- a/packages/relay/tests/front_fixture.h
+++ b/packages/relay/tests/front_fixture.h
@@ -92,12 +92,16 @@
 /// Grants each placement of `placements` in turn and refuses after that; admits all requests.
 class ScriptedPlacer final : public StreamPlacer, public CrashGuard, public QuotaGate {
  public:
+  explicit ScriptedPlacer(asio::io_context& io) : io_(io) {}
+
   PlacementOutcome Place(const StreamPlacementRequest& request, Cancellation& cancellation,
                          Yield yield) override {
     (void)request;
-    (void)cancellation;
-    (void)yield;
     on_place();
+    const absl::Time until = SystemClock::Instance().Now() + wait;
+    while (SystemClock::Instance().Now() < until && !cancellation.cancelled()) {
+      SleepFor(io_, absl::Milliseconds(5), yield);
+    }
     if (placements.empty()) return PlacementRefusal{false, absl::Seconds(1), "none"};
     const StreamPlacement placement = placements.front();
     placements.erase(placements.begin());
@@ -139,9 +143,14 @@
   }
 
   std::function<void()> on_place = [] {};
+  // Time for which each request waits, unless it is cancelled.
+  absl::Duration wait = absl::ZeroDuration();
   std::vector<StreamPlacement> placements;
   std::vector<StreamEnd> ends;
   TokenCount refunded = 0;
+
+ private:
+  asio::io_context& io_;
 };
 
 /// Keeps the response for the test.
@@ -245,7 +254,7 @@
   std::optional<absl::Time> servers_read_at;
   // Named by the requests of Call.
   std::optional<RequestId> resumes;
-  ScriptedPlacer placer;
+  ScriptedPlacer placer{io};
   std::map<std::string, std::unique_ptr<AnsweringServer>> servers;
 
  private:
