Skip extra responses to earlier requests on kept connections

Change: on a kept connection up to four such responses of 256 KB each are skipped, for streams, lookups and prefills. A prefill's connection goes back to the pool only if its last response was for its request. On a new connection such a response stays an error.

--- a/packages/relay/src/backend_attempt.cc
+++ b/packages/relay/src/backend_attempt.cc
@@ -13,6 +13,8 @@
 // earlier.
 constexpr absl::Duration kConnectTimeout = absl::Milliseconds(120);
 constexpr int kMaxConnectAttempts = 2;
+// Largest body of an extra response that is skipped.
+constexpr std::size_t kMaxExtraBytes = std::size_t{256} * 1024;
 
 }  // namespace
 
@@ -69,6 +71,32 @@
                "too many interim responses"};
 }
 
+bool BackendAttempt::IsExtraResponse() const {
+  return connection_reused_ && framing() != BodyFraming::kConnectionEnd &&
+         IsForOtherRequest(state_, state_.context.dialect.DecodeResponse(status(), fields()));
+}
+
+ErrorOrVoid BackendAttempt::SkipBody(absl::Duration timeout, Yield yield) {
+  std::string chunk;
+  for (std::size_t size = 0; !done(); size += chunk.size()) {
+    if (size > kMaxExtraBytes) {
+      return Error{ErrorCode::kProtocol, "skip extra response", replica_.address, "too large"};
+    }
+    auto read = connection_->ReadSome(*parser_, chunk, timeout, yield);
+    if (!read) return read;
+  }
+  return std::monostate();
+}
+
+ErrorOrVoid BackendAttempt::ReadOwnHead(absl::Duration timeout, Yield yield) {
+  auto read = ReadFinalHead(timeout, yield);
+  for (int skipped = 0; skipped < kMaxExtraResponses && read && IsExtraResponse(); ++skipped) {
+    read = SkipBody(timeout, yield);
+    if (read) read = ReadFinalHead(timeout, yield);
+  }
+  return read;
+}
+
 AttemptOutcome BackendAttempt::Start(const BackendCall& call, const AttemptOptions& options,
                                      Yield yield) {
   state_.last_server = replica_.id;
@@ -92,7 +120,7 @@
   const ForwardedRequest request = state_.context.dialect.MakeBackendRequest(state_.request, call);
   const auto sent = connection_->Send(request, options.head_timeout, yield);
   if (!sent) return FailExchange(sent.error());
-  const auto read = ReadFinalHead(options.head_timeout, yield);
+  const auto read = ReadOwnHead(options.head_timeout, yield);
   if (!read) return FailExchange(read.error());
   return CheckResponseHead();
 }
@@ -103,8 +131,6 @@
   if (response_.load) {
     state_.context.balancer.OnLoad(replica_.id, *response_.load, state_.Now());
   }
-  const bool is_for_other_request = !response_.request_id.empty() && !state_.metadata.id.empty() &&
-                                    response_.request_id != state_.metadata.id;
   // On a connection that has carried another request, a refusal that names no request may be an
   // earlier one that the server has sent once more.
   const bool may_be_earlier_refusal =
@@ -113,7 +139,7 @@
     return Fail(AttemptOutcome::kUnknown, ReplicaOutcome::kOverloaded,
                 "refusal on a reused connection names no request");
   }
-  if (is_for_other_request) {
+  if (IsForOtherRequest(state_, response_)) {
     return Fail(AttemptOutcome::kUnknown, ReplicaOutcome::kUnreachable,
                 absl::StrCat("response belongs to request ", response_.request_id));
   }
--- a/packages/relay/src/backend_attempt.h
+++ b/packages/relay/src/backend_attempt.h
@@ -75,6 +75,11 @@
  private:
   ErrorOrVoid Connect(const AttemptOptions& options, Yield yield);
   ErrorOrVoid ReadFinalHead(absl::Duration timeout, Yield yield);
+  // As ReadFinalHead, behind the extra responses to earlier requests of a kept connection.
+  ErrorOrVoid ReadOwnHead(absl::Duration timeout, Yield yield);
+  // Whether the head is that of an extra response to an earlier request of the connection.
+  bool IsExtraResponse() const;
+  ErrorOrVoid SkipBody(absl::Duration timeout, Yield yield);
   AttemptOutcome Fail(AttemptOutcome outcome, ReplicaOutcome health_outcome, std::string detail);
   // Fails an exchange whose request may have reached the server.
   AttemptOutcome FailExchange(const Error& error);
--- a/packages/relay/src/prefill_exchange.cc
+++ b/packages/relay/src/prefill_exchange.cc
@@ -66,25 +66,40 @@
   const auto sent = connection->Send(
       state_.context.dialect.MakeBackendRequest(state_.request, call), timeout, yield);
   if (!sent) return sent.error();
-  const auto reply = connection->ReadReply(HttpConnection::kMaxShortReplyBytes, timeout, yield);
+  const auto reply = ReadOwnReply(*connection, fresh, timeout, yield);
   if (!reply) {
     CountPrefill(true);
     if (reply.error().code == ErrorCode::kUnavailable) CheckForCrash(state_, engine);
     return reply.error();
   }
   const auto response = state_.context.dialect.DecodeResponse(reply->status, reply->fields);
+  const bool is_own = !IsForOtherRequest(state_, response);
   // A faulty engine may send a refusal once more, to the next request of the connection.
-  const bool reusable = connection->open() && !response.not_executed;
+  const bool reusable = is_own && connection->open() && !response.not_executed;
   CountPrefill(!response.not_executed);
   if (reusable) pool.Put(std::move(connection), state_.MaxIdleConnections());
   RecordServerState(state_, engine, response, sent_at);
-  if (!response.request_id.empty() && response.request_id != state_.metadata.id) {
+  if (!is_own) {
     return Error{ErrorCode::kProtocol, "read prompt", engine.address,
                  "response belongs to another request"};
   }
   return state_.context.dialect.DecodePrefill(*reply, engine.address);
 }
 
+ErrorOr<HttpReply> PrefillExchange::ReadOwnReply(HttpConnection& connection, bool fresh,
+                                                 absl::Duration timeout, Yield yield) const {
+  const auto read = [&] {
+    return connection.ReadReply(HttpConnection::kMaxShortReplyBytes, timeout, yield);
+  };
+  auto reply = read();
+  for (int skipped = 0; skipped < kMaxExtraResponses && reply && !fresh; ++skipped) {
+    const auto response = state_.context.dialect.DecodeResponse(reply->status, reply->fields);
+    if (!connection.open() || !IsForOtherRequest(state_, response)) break;
+    reply = read();
+  }
+  return reply;
+}
+
 void PrefillExchange::CountPrefill(bool accepted) {
   state_.prompt_processed |= accepted;
   if (accepted && !std::exchange(accepted_, true)) return;
--- a/packages/relay/src/prefill_exchange.h
+++ b/packages/relay/src/prefill_exchange.h
@@ -29,6 +29,10 @@
 
  private:
   ErrorOr<PrefillHandle> Send(const Replica& engine, const StreamPlacement& placement, Yield yield);
+  // Reads the reply to the prefill, behind extra responses to earlier requests of a connection that
+  // is not fresh.
+  ErrorOr<HttpReply> ReadOwnReply(HttpConnection& connection, bool fresh, absl::Duration timeout,
+                                  Yield yield) const;
   // The first prefill that an engine accepts belongs to the first attempt; any other one is a
   // retry.
   void CountPrefill(bool accepted);
--- a/packages/relay/src/request_state.cc
+++ b/packages/relay/src/request_state.cc
@@ -51,6 +51,11 @@
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+bool IsForOtherRequest(const RequestState& state, const BackendResponse& response) {
+  return !response.request_id.empty() && !state.metadata.id.empty() &&
+         response.request_id != state.metadata.id;
+}
+
 const Logger& RelayLog() {
   static const Logger logger("relay");
   return logger;
--- a/packages/relay/src/request_state.h
+++ b/packages/relay/src/request_state.h
@@ -98,6 +98,12 @@
 /// sent it first.
 bool PromisesNotRun(unsigned status);
 
+/// Most extra responses that are skipped on one connection.
+inline constexpr int kMaxExtraResponses = 4;
+
+/// Whether the response belongs to another request than that of `state`.
+bool IsForOtherRequest(const RequestState& state, const BackendResponse& response);
+
 /// Counts a request that is about to be sent to a backend server.
 void CountBackendRequest(const BackendServerId& server);
 
--- a/tests/platform/broken_off_responses_test.cc
+++ b/tests/platform/broken_off_responses_test.cc
@@ -235,6 +235,57 @@
   }
 }
 
+// Guards against a request that is sent to a second server while the first one works on it, because
+// an extra response to an earlier request came first on its kept connection.
+BOOST_AUTO_TEST_CASE(extra_response_to_an_earlier_request_is_skipped) {
+  const auto response = [](absl::string_view id, const std::string& body) {
+    return absl::StrCat("HTTP/1.1 200 OK\r\nAttempt-Id: ", id, "\r\nResponse-Seal: s\r\n",
+                        "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+                        absl::Hex(body.size()), "\r\n", body, "\r\n0\r\n\r\n");
+  };
+  const std::string own = "id: 1\ndata: own\n\n";
+  const std::string extra = "id: 1\ndata: extra\n\n";
+  for (const std::string path : {"/lookup/", "/resumed/"}) {
+    for (const int extras : {1, 3}) {
+      ScriptedRelay relay;
+      relay.Script([&](const StubConnection& connection) {
+        connection.ReadUntil("\r\n\r\n");
+        connection.Send(response(kScriptedRequestId, own));
+        connection.ReadUntil("\r\n\r\n");
+        for (int i = 0; i < extras; ++i) connection.Send(response("request-0", extra));
+        connection.Send(response(kScriptedRequestId, own));
+        connection.AwaitClose();
+      });
+      BOOST_TEST(relay.Call(path).body == own, path);
+      BOOST_TEST(relay.Call(path).body == own, path);
+      BOOST_TEST(relay.connections() == 1, path);
+    }
+  }
+}
+
+// Guards against a response to another request that is passed on, on a new connection, where it
+// cannot be an extra one, and when there are too many of them.
+BOOST_AUTO_TEST_CASE(response_to_another_request_is_not_passed_on) {
+  const std::string other =
+      "HTTP/1.1 200 OK\r\nAttempt-Id: request-0\r\nResponse-Seal: s\r\nContent-Length: 2\r\n\r\nno";
+  ScriptedRelay relay;
+  for (const std::string path : {"/plain/", "/lookup/", "/plain-stream/", "/once/", "/resumed/"}) {
+    const auto response = relay.Call(path, other, Ending::kFin);
+    BOOST_TEST(response.status == 502, path);
+    BOOST_TEST(response.body != "no", path);
+  }
+  const std::string whole = absl::StrCat("HTTP/1.1 200 OK\r\nAttempt-Id: ", kScriptedRequestId,
+                                         "\r\nResponse-Seal: s\r\nContent-Length: 2\r\n\r\nok");
+  relay.Script([&](const StubConnection& connection) {
+    connection.ReadUntil("\r\n\r\n");
+    connection.Send(whole);
+    connection.ReadUntil("\r\n\r\n");
+    for (int i = 0; i < 100; ++i) connection.Send(other);
+  });
+  BOOST_TEST(relay.Call("/lookup/").status == 200);
+  BOOST_TEST(relay.Call("/lookup/").body != "no");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
