Continue streams only at engines whose start is certain

Cause: the version was held fast by the entry in the list alone, whatever its age.

Change: when the list is older than 1.5 s, an engine that is to go on with a stream is asked for its start first (the field `born` of its report), and gets the stream only if it is the listed one. A stream that began with such a list is not continued within the answer, and its version is not recorded, so that a take-up is resolved once the store is back.

--- a/packages/fleet/src/coordinator_versions.cc
+++ b/packages/fleet/src/coordinator_versions.cc
@@ -14,6 +14,9 @@
 constexpr absl::Duration kMinRecall = absl::Seconds(30);
 // Of routes without a timeout.
 constexpr absl::Duration kUnlimitedRecall = absl::Seconds(60);
+// An older list may name engines in an earlier start, so that the version of their streams is not
+// certain.
+constexpr absl::Duration kMaxRecordedListAge = absl::Milliseconds(1500);
 constexpr absl::Duration kUnknownRetryAfter = absl::Milliseconds(500);
 constexpr absl::Duration kNotYetRetryAfter = absl::Milliseconds(300);
 
@@ -111,6 +114,8 @@
   if (decision.verdict != StreamVerdict::kGranted) return;
   const Replica* decode = view_.replicas().Find(decision.decode);
   if (decode == nullptr) return;
+  // The engine may have started again at another version since.
+  if (clock_.Now() - hooks_.servers_origin().read_at > kMaxRecordedListAge) return;
   versions_.Record(service, request_id, decode->software_version, decode->id, clock_.Now());
 }
 
--- a/packages/relay/include/marigoldquay/relay/backend_dialect.h
+++ b/packages/relay/include/marigoldquay/relay/backend_dialect.h
@@ -142,6 +142,10 @@
   /// Builds the request that frees the KV cache of an unused prefill.
   virtual HttpRequest MakePrefillRelease(const PrefillHandle& prefill,
                                          const Address& engine) const = 0;
+  /// Builds the request that asks a backend server when it has started.
+  virtual HttpRequest MakeStartQuery(const Replica& server) const = 0;
+  /// Unix time of the start in ms; unset when the reply does not tell it.
+  virtual std::optional<std::int64_t> DecodeStart(const HttpReply& reply) const = 0;
   virtual HttpRequest MakeRoleOrder(const RoleOrder& order) const = 0;
   virtual RoleOrderOutcome DecodeRoleOrder(const HttpReply& reply) const = 0;
 };
--- a/packages/relay/src/model_relay.cc
+++ b/packages/relay/src/model_relay.cc
@@ -154,6 +154,11 @@
       guard.End(StreamEnd::kCancelled);
       return Exclude(decode.id);
     }
+    if (Continues() && !IsStartCertain(state_.context, decode, yield)) {
+      guard.End(StreamEnd::kCancelled);
+      RejectAsUncertain(yield);
+      return NextStep::kStop;
+    }
     auto cache = placement.prefill ? prefills_.Run(placement, yield) : nullptr;
     if (state_.cancellation.cancelled()) {
       ReleaseKvCache(state_, std::move(cache));
@@ -169,6 +174,22 @@
     return StreamFromDecode(placement, decode, std::move(cache), guard, yield);
   }
 
+  // Whether the engine is to go on with a stream that another one may have begun.
+  bool Continues() const { return software_version_ || state_.metadata.resumes; }
+
+  void RejectAsUncertain(Yield yield) {
+    Reject({false, kRefusedRetryAfter,
+            "the software version of the engine is not certain, as the list of servers is old"},
+           yield);
+  }
+
+  // Called when an engine may run the request, which it got with a list that was recent or not.
+  void RecordExecution(const Replica& decode, bool list_was_recent) {
+    ++state_.execution_count;
+    if (!software_version_) version_certain_ = list_was_recent;
+    software_version_ = decode.software_version;
+  }
+
   bool IsQuarantined() const { return state_.QuarantineTimeLeft() > absl::ZeroDuration(); }
 
   NextStep StreamFromDecode(const StreamPlacement& placement, const Replica& decode,
@@ -182,6 +203,7 @@
       return NextStep::kStop;
     }
     BackendAttempt attempt(state_, decode);
+    const bool list_is_recent = IsListRecent(state_.context);
     const AttemptOutcome attempt_outcome =
         attempt.Start(MakeBackendCall(decode, cache.get()), MakeAttemptOptions(), yield);
     last_detail_ = attempt.detail();
@@ -197,14 +219,12 @@
         LogRejection(decode, had_cache);
         return HandleRejection(placement, attempt, had_cache, guard);
       case AttemptOutcome::kUnknown:
-        ++state_.execution_count;
-        software_version_ = decode.software_version;
+        RecordExecution(decode, list_is_recent);
         if (attempt.connection_lost()) CheckForCrash(state_, attempt.replica());
         guard.End(StreamEnd::kFailed);
         return HandleInterruption(decode, yield);
       case AttemptOutcome::kResponded:
-        ++state_.execution_count;
-        software_version_ = decode.software_version;
+        RecordExecution(decode, list_is_recent);
         return ForwardResponse(attempt, guard, yield);
     }
     return NextStep::kStop;
@@ -261,7 +281,7 @@
   // Whether another engine may continue after the attempt at `decode`.
   bool MayResume(const Replica& decode) const {
     return state_.route->resumable && state_.execution_count < state_.route->max_attempts &&
-           forwarder_.position_known() && IsVersionCertain(decode);
+           forwarder_.position_known() && version_certain_ && IsVersionCertain(decode);
   }
 
   // False when a server with the same id and another software version has started meanwhile: the
@@ -304,6 +324,8 @@
   // Version of the first engine that may have run the request. Only engines of this version can
   // continue the stream.
   std::optional<std::string> software_version_;
+  // Whether that engine was listed in its present start when it got the request.
+  bool version_certain_ = true;
 };
 
 }  // namespace
--- a/packages/relay/src/request_state.cc
+++ b/packages/relay/src/request_state.cc
@@ -13,6 +13,10 @@
 
 constexpr unsigned kUnavailable = 503;
 constexpr unsigned kGatewayTimeout = 504;
+// The list is read or received about every second while the store and the coordinator can be
+// reached.
+constexpr absl::Duration kRecentList = absl::Milliseconds(1500);
+constexpr absl::Duration kStartQueryTimeout = absl::Milliseconds(150);
 // Other VMs take the request at once.
 constexpr absl::Duration kStoppingRetryAfter = absl::Milliseconds(50);
 // A crashed server closes its connections just before it stops to listen.
@@ -120,6 +124,17 @@
          listed->software_version == server.software_version;
 }
 
+bool IsListRecent(const FrontContext& context) {
+  return context.clock.Now() - context.servers_read_at() <= kRecentList;
+}
+
+bool IsStartCertain(const FrontContext& context, const Replica& server, Yield yield) {
+  if (IsListRecent(context)) return true;
+  const auto reply = CallHttp(context.connections, server.address,
+                              context.dialect.MakeStartQuery(server), kStartQueryTimeout, yield);
+  return reply && context.dialect.DecodeStart(*reply) == server.started_unix_ms;
+}
+
 bool HasCrashed(const FrontContext& context, const Address& server, Yield yield) {
   SleepFor(context.io, kCrashProbeDelay, yield);
   const auto connection = context.connections.MakeNew(server);
--- a/packages/relay/src/request_state.h
+++ b/packages/relay/src/request_state.h
@@ -116,6 +116,14 @@
 /// choice of a server and the sending, so this is checked right before the bytes go out.
 bool MayReceiveRequests(const FrontContext& context, const Replica& server);
 
+/// Whether the list of servers is so recent that it holds every start of a server that may get a
+/// request now.
+bool IsListRecent(const FrontContext& context);
+
+/// Whether the server that answers at the address is still in the start that is listed, and so has
+/// the listed software version. Asks it when the list is not recent.
+bool IsStartCertain(const FrontContext& context, const Replica& server, Yield yield);
+
 /// Whether the server has crashed, after its connection was lost: whether it accepts no connections
 /// soon after that.
 bool HasCrashed(const FrontContext& context, const Address& server, Yield yield);
--- a/packages/relay/tests/front_fixture.h
+++ b/packages/relay/tests/front_fixture.h
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "absl/strings/numbers.h"
 #include "marigoldquay/core/clock.h"
 #include "marigoldquay/relay/front_handler.h"
 
@@ -58,6 +59,15 @@
     (void)engine;
     return {http::verb::delete_, "/release/" + prefill.handle, 11};
   }
+  HttpRequest MakeStartQuery(const Replica& server) const override {
+    HttpRequest request(http::verb::get, "/start", 11);
+    request.set(http::field::host, server.address);
+    return request;
+  }
+  std::optional<std::int64_t> DecodeStart(const HttpReply& reply) const override {
+    std::int64_t started = 0;
+    return absl::SimpleAtoi(reply.body, &started) ? std::make_optional(started) : std::nullopt;
+  }
   HttpRequest MakeRoleOrder(const RoleOrder& order) const override {
     (void)order;
     return {};
--- a/tests/platform/fake_replica.cc
+++ b/tests/platform/fake_replica.cc
@@ -225,6 +225,13 @@
     return;
   }
   if (request.target() == "/order") return ChangePhase(request, reply, yield);
+  if (request.target() == "/report") {
+    (void)reply.SendReply(
+        200, CommonFields(id),
+        boost::json::serialize(boost::json::object{{"born", absl::ToUnixMillis(started_at_)}}),
+        yield);
+    return;
+  }
   const bool prefill = Field(request, "Stage") == "prefill";
   ReplicaArrival arrival{
       options_.id,    id,     absl::Now(), std::nullopt, Field(request, "Prompt-Prefix"),
--- a/tests/platform/platform_versions_test.cc
+++ b/tests/platform/platform_versions_test.cc
@@ -12,8 +12,27 @@
 
 // Part of a stream that a second attempt reads before its caller leaves.
 constexpr absl::Duration kSecondAttempt = absl::Milliseconds(600);
+// By then the list that VMs hold is too old to be sure of the start of an engine.
+constexpr absl::Duration kListAge = absl::Milliseconds(2000);
 // Until then a VM has no part of the burst of the retry budget.
 constexpr absl::Duration kFleetKnown = absl::Seconds(3);
+// Until then it has only a part of its share.
+constexpr absl::Duration kWholeBudget = absl::Seconds(11);
+
+// First attempts of the streams that ran at one of the engines.
+std::set<std::string> Interrupted(Deployment& deployment, const std::set<std::string>& engines) {
+  std::set<std::string> attempts;
+  for (const auto& run : deployment.world.Seen().runs) {
+    if (engines.contains(run.replica)) attempts.insert(run.request_id);
+  }
+  return attempts;
+}
+
+std::size_t CompleteAmong(const StreamCallers& callers, const std::set<std::string>& attempts) {
+  return callers.Count([&](const CallerStream& stream) {
+    return stream.complete && attempts.contains(stream.first_attempt);
+  });
+}
 
 BOOST_AUTO_TEST_SUITE(platform_versions)
 
@@ -26,13 +45,8 @@
   BOOST_TEST_REQUIRE(two.callers.AwaitEvents(kFirstEvents));
   for (const std::string engine : {"d1", "d4"}) two.world.BreakResponses(engine);
   two.callers.Join();
-  std::set<std::string> interrupted;
-  for (const auto& run : two.world.Seen().runs) {
-    if (run.replica == "d1" || run.replica == "d4") interrupted.insert(run.request_id);
-  }
-  const std::size_t went_on = two.callers.Count([&](const CallerStream& stream) {
-    return stream.complete && interrupted.contains(stream.first_attempt);
-  });
+  const auto interrupted = Interrupted(two, {"d1", "d4"});
+  const std::size_t went_on = CompleteAmong(two.callers, interrupted);
   BOOST_TEST_MESSAGE(interrupted.size() << " interrupted, " << went_on << " of them complete");
   CheckSound(two, two.callers);
   BOOST_TEST(!interrupted.empty());
@@ -250,6 +264,44 @@
   BOOST_TEST(one.BrokenOff() == 0U);
 }
 
+// Guards against a stream that goes on at an engine which has started again under its id at another
+// version, while the store cannot tell of it.
+BOOST_AUTO_TEST_CASE(answer_while_engines_start_again_and_the_store_is_away) {
+  Deployment two("away", Versions::kOne);
+  absl::SleepFor(kFleetKnown);
+  two.world.Run([&] { two.world.store().set_mode(StoreMode::kBusy); });
+  two.second_half_is_v2 = true;
+  two.StartAgain(SecondHalf());
+  absl::SleepFor(kListAge);
+  two.callers.Begin(12, {0, 1});
+  BOOST_TEST_REQUIRE(two.callers.AwaitEvents(kFirstEvents));
+  for (const std::string engine : {"d1", "d2", "d4"}) two.world.BreakResponses(engine);
+  two.callers.Join();
+  two.callers.TakeUp({1, 0});
+  two.callers.Join();
+  CheckSound(two, two.callers);
+  BOOST_TEST(two.BrokenOff() > 0U);
+}
+
+// Guards against a stream that is broken off while the store is away, though its engines can say
+// themselves that they are in the start that is listed.
+BOOST_AUTO_TEST_CASE(answer_goes_on_while_the_store_is_away) {
+  Deployment one("away_one", Versions::kOne);
+  absl::SleepFor(kWholeBudget);
+  one.world.Run([&] { one.world.store().set_mode(StoreMode::kBusy); });
+  // The streams begin while the list is recent.
+  absl::SleepFor(kListAge - 60 * kEventGap);
+  one.callers.Begin(12, {0, 1});
+  BOOST_TEST_REQUIRE(one.callers.AwaitEvents(kFirstEvents));
+  absl::SleepFor(40 * kEventGap);
+  one.world.BreakResponses("d1");
+  one.callers.Join();
+  const auto interrupted = Interrupted(one, {"d1"});
+  CheckSound(one, one.callers);
+  BOOST_TEST(!interrupted.empty());
+  BOOST_TEST(2 * CompleteAmong(one.callers, interrupted) >= interrupted.size());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
