--- a/packages/fleet/tests/coordinator_versions_test.cc
+++ b/packages/fleet/tests/coordinator_versions_test.cc
@@ -136,7 +136,9 @@
       if (session_ != nullptr) exchange(*session_, yield);
       done = true;
     });
-    while (!done) io.run_one();
+    while (io.run_one() > 0) {
+      if (done) break;
+    }
   }
 
   FrameConnectionPtr session_;
