--- a/tests/platform/platform_stale_list_test.cc
+++ b/tests/platform/platform_stale_list_test.cc
@@ -62,6 +62,16 @@
     BOOST_TEST(at_second >= kFewestStreams / 2);
   }
 
+  /// Callers take their streams up while the VM stands still; then it goes on.
+  void TakeUpAndWake() {
+    callers.TakeUp({vm});
+    absl::SleepFor(kBeforeWake);
+    Wake();
+    callers.Join();
+    CheckSound(*this, callers);
+    CheckAnswersAreTrue(callers);
+  }
+
   /// Streams that begin after the trouble are taken up as ever.
   void CheckLaterTakeUps() {
     absl::SleepFor(kSettled);
@@ -88,12 +98,7 @@
   stale.StandStill();
   absl::SleepFor(kTakeover);
   stale.SecondVersionJoins();
-  stale.callers.TakeUp({kCoordinator});
-  absl::SleepFor(kBeforeWake);
-  stale.Wake();
-  stale.callers.Join();
-  CheckSound(stale, stale.callers);
-  CheckAnswersAreTrue(stale.callers);
+  stale.TakeUpAndWake();
   stale.CheckLaterTakeUps();
 }
 
@@ -105,12 +110,7 @@
   absl::SleepFor(kTakeover);
   stale.SecondVersionJoins();
   stale.Remove(SecondHalf());
-  stale.callers.TakeUp({kCoordinator});
-  absl::SleepFor(kBeforeWake);
-  stale.Wake();
-  stale.callers.Join();
-  CheckSound(stale, stale.callers);
-  CheckAnswersAreTrue(stale.callers);
+  stale.TakeUpAndWake();
 }
 
 // Guards against the same at a VM that follows another coordinator.
@@ -118,12 +118,7 @@
   StaleVm stale("stale_other", kOtherVm);
   stale.StandStill();
   stale.SecondVersionJoins();
-  stale.callers.TakeUp({kOtherVm});
-  absl::SleepFor(kBeforeWake);
-  stale.Wake();
-  stale.callers.Join();
-  CheckSound(stale, stale.callers);
-  CheckAnswersAreTrue(stale.callers);
+  stale.TakeUpAndWake();
 }
 
 // Guards against the same at a coordinator that does not reach the store.
