Move the planned stop out of PlatformNode

NodeDrain holds the moments of a planned stop and their constants; the order of the steps is as before. platform_stop, platform_stop_waiting and platform_fleet hold.

--- a/apps/marigoldquayd/platform_node.cc
+++ b/apps/marigoldquayd/platform_node.cc
@@ -30,6 +30,7 @@
 #include "marigoldquay/platform/service_handlers.h"
 #include "marigoldquay/platform/store_client.h"
 #include "marigoldquay/relay/front_handler.h"
+#include "node_drain.h"
 #include "node_resources.h"
 
 namespace marigoldquay {
@@ -49,19 +50,6 @@
 constexpr absl::Duration kStartRetryDelay = absl::Milliseconds(100);
 // Only traffic between VMs and the metrics share the inner ports.
 constexpr int kMetricsPort = 9464;
-// From then on only requests are accepted that end before the process does, whatever the backend
-// server does. Before that, callers that cannot know of the stop yet are served.
-constexpr absl::Duration kLongRequestsAfterStop = absl::Milliseconds(2500);
-// With a short grace time they are served for this part of it only, so that most of them end.
-constexpr double kLongRequestsPart = 1.0 / 3;
-// Time for the last responses to leave.
-constexpr absl::Duration kExitMargin = absl::Milliseconds(100);
-// Callers that keep an address longer than its age go on to come for a while.
-constexpr absl::Duration kMinDrain = absl::Milliseconds(2800);
-constexpr absl::Duration kStopMargin = absl::Milliseconds(500);
-// After the listening socket is closed, requests still arrive on connections made just before.
-constexpr absl::Duration kLastRequestsTime = absl::Milliseconds(250);
-constexpr absl::Duration kDrainPoll = absl::Milliseconds(50);
 constexpr absl::Duration kLogFlush = absl::Milliseconds(100);
 // Orders to engines wait while the store has been silent for longer.
 constexpr absl::Duration kFreshStore = absl::Milliseconds(1500);
@@ -473,42 +461,17 @@
     return absl::ToUnixNanos(absl::TimeFromTimespec(info.st_mtim));
   }
 
-  // Waits for the requests of the connections that were accepted before `closed`, until shortly
-  // after `last`.
-  void AwaitLastRequests(absl::Time closed, absl::Time last, Yield yield) {
-    while (clock_.Now() < last + kLastRequestsTime) {
-      const bool idle = front_listener_.active_requests() == 0;
-      if (idle && clock_.Now() >= closed + kLastRequestsTime) return;
-      SleepFor(io_, kDrainPoll, yield);
-    }
-  }
-
   void Drain(Yield yield) {
-    const absl::Time started = clock_.Now();
-    const absl::Duration time_left = settings_.stop_grace - kStopMargin;
-    const absl::Time last = started + time_left;
-    const absl::Duration long_requests =
-        std::min(kLongRequestsAfterStop, time_left * kLongRequestsPart);
     Log().Event("stop", LogFields().Add("grace_ms", settings_.stop_grace));
+    NodeDrain drain(io_, clock_, front_, front_listener_, settings_.stop_grace);
     link_.SendReport();
     coordinator_.Leave();
     front_.CloseConnections();
     presence_.Leave(yield);
-    while (true) {
-      const absl::Duration elapsed = clock_.Now() - started;
-      if (elapsed >= long_requests) front_.RejectRequestsBeyond(last - kExitMargin);
-      const bool idle = front_listener_.active_requests() == 0;
-      if (clock_.Now() >= last || (idle && elapsed >= kMinDrain)) break;
-      SleepFor(io_, kDrainPoll, yield);
-    }
-    front_.EndWaits();
-    front_listener_.AcceptQueued();
-    front_listener_.StopAccepting();
-    AwaitLastRequests(clock_.Now(), last, yield);
-    Log().Event("stopped",
-                LogFields()
-                    .Add("unfinished", static_cast<std::int64_t>(front_listener_.active_requests()))
-                    .Add("took_ms", clock_.Now() - started));
+    drain.Run(yield);
+    Log().Event("stopped", LogFields()
+                               .Add("unfinished", static_cast<std::int64_t>(drain.unfinished()))
+                               .Add("took_ms", drain.elapsed()));
     FlushLogging();
     // Fibers are not unwound: the process ends with them.
     std::fflush(stdout);
