End waits only when the process is about to exit, not when it is idle before

Found when the change was read again: a stop that is idle after 2.8 s accepts requests of the last connections for 0.25 s more. With the waits ended at that moment those for engines would be refused though an engine is free.

--- a/apps/marigoldquayd/node_drain.cc
+++ b/apps/marigoldquayd/node_drain.cc
@@ -11,7 +11,7 @@
 // From then on only requests are accepted that end before the process does, whatever the backend
 // server does. Before that, callers that cannot know of the stop yet are served.
 constexpr absl::Duration kLongRequestsAfterStop = absl::Milliseconds(2500);
-// With a short grace time they are served for this part of it only, so that most of them end.
+// With a short grace time they are served for this part of it only, so that they have time to end.
 constexpr double kLongRequestsPart = 1.0 / 3;
 // Time for the last responses to leave.
 constexpr absl::Duration kExitMargin = absl::Milliseconds(100);
@@ -35,7 +35,6 @@
 
 void NodeDrain::Run(Yield yield) {
   ServeCallers(yield);
-  front_.EndWaits();
   listener_.AcceptQueued();
   listener_.StopAccepting();
   AwaitLastRequests(clock_.Now(), yield);
@@ -54,6 +53,7 @@
 
 void NodeDrain::AwaitLastRequests(absl::Time closed, Yield yield) {
   while (clock_.Now() < last_accept_ + kLastRequestsTime) {
+    if (clock_.Now() >= last_accept_) front_.EndWaits();
     const bool idle = listener_.active_requests() == 0;
     if (idle && clock_.Now() >= closed + kLastRequestsTime) return;
     SleepFor(io_, kDrainPoll, yield);
