--- a/packages/relay/tests/planned_stop_test.cc
+++ b/packages/relay/tests/planned_stop_test.cc
@@ -31,7 +31,7 @@
   RecordedReply CallWith(ServerBehavior behavior) {
     servers.at("d1")->set_behavior(behavior);
     const absl::Time started = clock.Now();
-    const auto reply = Call("/model/x");
+    auto reply = Call("/model/x");
     BOOST_TEST(places == 2);
     BOOST_TEST((clock.Now() - started < kLongWait));
     return reply;
